--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -36,6 +36,8 @@
     Run(RunArgs),
     /// Check the daemon's settings and print each fault
     Check(RunArgs),
+    /// Run the daemon on the users' platform, from the settings file that it provides
+    Sidecar(SidecarArgs),
     /// Submit and look up change tickets
     #[command(subcommand)]
     Ticket(TicketCommand),
@@ -55,6 +57,14 @@
     Man,
 }
 
+/// How to run on the users' platform.
+#[derive(Debug, Args)]
+pub struct SidecarArgs {
+    /// Only check the settings file
+    #[arg(long)]
+    pub check: bool,
+}
+
 /// The ticket commands.
 #[derive(Debug, Subcommand)]
 pub enum TicketCommand {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -14,6 +14,7 @@
 use crate::config::DaemonConfig;
 use crate::error::ResultCode;
 use crate::logging::{init_logging, log_event};
+use crate::platform::{check_settings, run_sidecar};
 use crate::process::daemon::{Daemon, DaemonAddresses};
 use crate::version::digest::{Sha256Digest, new_key};
 
@@ -23,6 +24,8 @@
     let code = match args.command {
         LentilwayCommand::Run(args) => run(&args),
         LentilwayCommand::Check(args) => check(&args),
+        LentilwayCommand::Sidecar(args) if args.check => check_settings(),
+        LentilwayCommand::Sidecar(_) => run_sidecar(),
         LentilwayCommand::Ticket(command) => block_on(run_ticket(command)),
         LentilwayCommand::Status(admin) => block_on(run_status(&admin)),
         LentilwayCommand::Key(KeyCommand::New) => print_new_key(),
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Debug)]
 enum ClockSource {
     Monotonic(Instant),
+    Boottime,
     Manual(Arc<ManualTime>),
 }
 
@@ -67,6 +68,12 @@
         MilliClock { source: ClockSource::Monotonic(Instant::now()) }
     }
 
+    /// A monotonic clock that also counts the time in which the machine is suspended; its origin
+    /// is the start of the machine.
+    pub fn boottime() -> Self {
+        MilliClock { source: ClockSource::Boottime }
+    }
+
     /// A clock that stands still until [`MilliClock::advance`] moves it.
     ///
     /// ```
@@ -84,6 +91,7 @@
     pub fn now(&self) -> MilliTime {
         match &self.source {
             ClockSource::Monotonic(origin) => MilliTime(origin.elapsed().as_millis() as u64),
+            ClockSource::Boottime => boottime_now(),
             ClockSource::Manual(time) => MilliTime(time.millis.load(Ordering::Acquire)),
         }
     }
@@ -112,6 +120,12 @@
     }
 }
 
+fn boottime_now() -> MilliTime {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let millis = time.tv_sec * 1_000 + time.tv_nsec / 1_000_000;
+    MilliTime(u64::try_from(millis).unwrap_or_default())
+}
+
 /// Wall-clock time in milliseconds since the Unix epoch, for logs and records that people read.
 pub fn wall_time() -> MilliTime {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,10 @@
 pub mod connection;
 pub mod error;
 pub mod logging;
+#[path = "../platform/mod.rs"]
+pub mod platform;
+pub mod policy;
 pub mod process;
 pub mod request;
+pub mod sidecar;
 pub mod version;
--- /dev/null
+++ b/src/policy/door_queue.rs
@@ -0,0 +1,252 @@
+//! Lets requests in to one backend server and orders those that wait.
+//!
+//! Answers a backend server that is asked for more than its slots: it hangs when it is full and
+//! slows down when it is nearly full, so it is kept just below, and the rest waits here. Calls of
+//! runs under way go first, then the more urgent, then the earlier deadline. A request that cannot
+//! finish in time by the measured service time is told so at once instead of after a wait.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::load_average::{FailurePart, RateAverage, SampleAverage};
+use super::placement::DoorLoad;
+use super::request_rank::RequestRank;
+use crate::clock::MilliTime;
+
+/// Part of the declared slots in use at most: backend servers slow down when nearly full, and a
+/// health check or a new connection may hold a slot too.
+pub const SLOTS_USED_PART: f64 = 0.95;
+/// Part of the mean service time that must fit before the deadline for a request to be started.
+const SERVICE_PART_NEEDED: f64 = 0.7;
+/// Service time in milliseconds before the first sample.
+const SERVICE_MILLIS_DEFAULT: f64 = 50.0;
+/// Weight of one run in the mean service time.
+const SERVICE_SAMPLE_WEIGHT: f64 = 0.05;
+/// Window of the rate of arriving work, in seconds: a few runs of a deep service.
+const DEMAND_WINDOW_SECONDS: f64 = 0.5;
+/// Weight of the backlog in the demand: it is to be worked off beside the arrivals.
+const BACKLOG_WEIGHT: f64 = 0.5;
+
+/// A request at the door.
+#[derive(Clone, Copy, Debug)]
+pub struct DoorRequest {
+    /// Its place among the others.
+    pub rank: RequestRank,
+    /// When its answer is of no use any more.
+    pub deadline: MilliTime,
+    /// When its answer becomes late; a root that cannot make it is refused.
+    pub due: MilliTime,
+}
+
+/// Why a request was refused; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DoorRefusal {
+    /// No backend server takes work here.
+    NoBackend,
+    /// It would not finish in time; room is expected after this time.
+    TooLate(Duration),
+}
+
+/// What happens to a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DoorVerdict {
+    /// It runs now.
+    Run,
+    /// It waits under this ticket.
+    Wait(WaitTicket),
+    /// It is refused.
+    Refuse(DoorRefusal),
+}
+
+/// Names a request that waits; the order is the order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaitTicket {
+    rank: RequestRank,
+    deadline: MilliTime,
+    number: u64,
+}
+
+/// What a waiting request is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitOutcome {
+    /// It runs now.
+    Run,
+    /// It is refused.
+    Refuse(DoorRefusal),
+}
+
+/// The requests at one backend server.
+#[derive(Debug)]
+pub struct DoorQueue {
+    slots: usize,
+    running: usize,
+    waiting: BTreeMap<WaitTicket, DoorRequest>,
+    next_number: u64,
+    service_millis: SampleAverage,
+    failed_part: FailurePart,
+    arrivals: RateAverage,
+}
+
+impl DoorQueue {
+    /// A door that is shut until [`DoorQueue::set_slots`].
+    pub fn new(now: MilliTime) -> Self {
+        DoorQueue {
+            slots: 0,
+            running: 0,
+            waiting: BTreeMap::new(),
+            next_number: 0,
+            service_millis: SampleAverage::new(SERVICE_SAMPLE_WEIGHT),
+            failed_part: FailurePart::new(now),
+            arrivals: RateAverage::new(DEMAND_WINDOW_SECONDS, now),
+        }
+    }
+
+    /// Sets how many requests the backend server says it can run; 0 shuts the door. What waits is
+    /// told with the next [`DoorQueue::next`].
+    pub fn set_slots(&mut self, slots: usize) {
+        self.slots = slots;
+    }
+
+    /// Forgets what was measured, for another backend server.
+    pub fn forget_measures(&mut self, now: MilliTime) {
+        self.service_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
+        self.failed_part = FailurePart::new(now);
+    }
+
+    /// Requests that may run at a time.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::door_queue::DoorQueue;
+    /// let mut door = DoorQueue::new(MilliTime(0));
+    /// door.set_slots(24);
+    /// assert_eq!(door.limit(), 22);
+    /// ```
+    pub fn limit(&self) -> usize {
+        match self.slots {
+            0 => 0,
+            slots => ((slots as f64 * SLOTS_USED_PART) as usize).max(1),
+        }
+    }
+
+    /// Judges a request that arrives.
+    pub fn offer(&mut self, now: MilliTime, request: DoorRequest) -> DoorVerdict {
+        let limit = self.limit();
+        if limit == 0 {
+            return DoorVerdict::Refuse(DoorRefusal::NoBackend);
+        }
+        self.arrivals.add(now, self.service_mean());
+        if self.running < limit && self.waiting.is_empty() {
+            self.running += 1;
+            return DoorVerdict::Run;
+        }
+        self.next_number += 1;
+        let (rank, deadline) = (request.rank, request.deadline);
+        let ticket = WaitTicket { rank, deadline, number: self.next_number };
+        let wait = self.expected_wait(self.waiting.range(..ticket).count());
+        if now + wait + self.needed_time() > latest_finish(&request) {
+            return DoorVerdict::Refuse(DoorRefusal::TooLate(wait));
+        }
+        self.waiting.insert(ticket, request);
+        DoorVerdict::Wait(ticket)
+    }
+
+    /// Takes the next request to run, or the next to refuse, if there is one.
+    pub fn next(&mut self, now: MilliTime) -> Option<(WaitTicket, WaitOutcome)> {
+        let limit = self.limit();
+        if limit == 0 {
+            let (ticket, _) = self.waiting.pop_first()?;
+            return Some((ticket, WaitOutcome::Refuse(DoorRefusal::NoBackend)));
+        }
+        let has_room = self.running < limit;
+        let needed = self.needed_time();
+        let is_late = |request: &DoorRequest| now + needed > request.deadline;
+        let first = self.waiting.first_key_value().map(|(ticket, request)| (*ticket, *request));
+        let (ticket, request) = first?;
+        if is_late(&request) {
+            self.waiting.remove(&ticket);
+            let room_in = self.expected_wait(self.waiting.len());
+            return Some((ticket, WaitOutcome::Refuse(DoorRefusal::TooLate(room_in))));
+        }
+        if !has_room {
+            return None;
+        }
+        self.waiting.remove(&ticket);
+        self.running += 1;
+        Some((ticket, WaitOutcome::Run))
+    }
+
+    /// Takes waiting requests that cannot finish in time any more.
+    pub fn take_hopeless(&mut self, now: MilliTime) -> Vec<WaitTicket> {
+        let needed = self.needed_time();
+        let hopeless = |request: &DoorRequest| now + needed > request.deadline;
+        let tickets: Vec<WaitTicket> = self
+            .waiting
+            .iter()
+            .filter(|(_, request)| hopeless(request))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in &tickets {
+            self.waiting.remove(ticket);
+        }
+        tickets
+    }
+
+    /// Removes a request whose caller has gone; `false` if it does not wait any more.
+    pub fn abandon(&mut self, ticket: WaitTicket) -> bool {
+        self.waiting.remove(&ticket).is_some()
+    }
+
+    /// Ends a run that was broken off.
+    pub fn release(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Ends a run. A run that was answered counts for the service time, and `failed` tells whether
+    /// the backend server failed it.
+    pub fn finish(&mut self, now: MilliTime, elapsed: Option<Duration>, failed: bool) {
+        self.release();
+        self.failed_part.add(now, failed);
+        if let Some(elapsed) = elapsed {
+            self.service_millis.add(elapsed.as_secs_f64() * 1_000.0);
+        }
+    }
+
+    /// The load to report to senders.
+    pub fn load(&mut self, now: MilliTime) -> DoorLoad {
+        let limit = self.limit();
+        DoorLoad {
+            slots: limit as u32,
+            running: self.running as u32,
+            waiting: self.waiting.len() as u32,
+            service_micros: (self.service_mean() * 1_000.0) as u32,
+            failed_permille: self.failed_part.permille(now),
+            demand_permille: (self.demand(now) * 1_000.0) as u32,
+        }
+    }
+
+    /// Demand for the slots: arriving work by the work that they do, and the backlog.
+    fn demand(&mut self, now: MilliTime) -> f64 {
+        let limit = self.limit().max(1) as f64;
+        let arriving = self.arrivals.per_second(now) / 1_000.0 / limit;
+        arriving + BACKLOG_WEIGHT * self.waiting.len() as f64 / limit
+    }
+
+    fn service_mean(&self) -> f64 {
+        self.service_millis.mean_or(SERVICE_MILLIS_DEFAULT)
+    }
+
+    fn needed_time(&self) -> Duration {
+        Duration::from_secs_f64(self.service_mean() * SERVICE_PART_NEEDED / 1_000.0)
+    }
+
+    /// A full server of `s` slots and service time `t` takes a request every `t / s`.
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let per_request = self.service_mean() / 1_000.0 / self.limit().max(1) as f64;
+        Duration::from_secs_f64(per_request * (ahead + 1) as f64)
+    }
+}
+
+fn latest_finish(request: &DoorRequest) -> MilliTime {
+    if request.rank.is_root { request.due.min(request.deadline) } else { request.deadline }
+}
--- /dev/null
+++ b/src/policy/evidence.rs
@@ -0,0 +1,43 @@
+//! How old the proof is that no newer configuration can be in force elsewhere.
+//!
+//! Answers the pattern of a daemon that is cut off, frozen or refused by the store while keys are
+//! withdrawn: it must stop serving keyed requests before the bound for withdrawn keys has passed.
+
+use std::time::Duration;
+
+use crate::clock::MilliTime;
+
+/// The latest time at which the configuration held here is proven to have been the newest.
+///
+/// Times must come from a clock that counts suspension.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConfigEvidence {
+    proven_at: Option<MilliTime>,
+}
+
+impl ConfigEvidence {
+    /// Notes that everything written before `at` is known here; older proof changes nothing.
+    pub fn prove(&mut self, at: MilliTime) {
+        self.proven_at = self.proven_at.max(Some(at));
+    }
+
+    /// The age of the proof; `None` before the first.
+    pub fn age(&self, now: MilliTime) -> Option<Duration> {
+        self.proven_at.map(|at| now.since(at))
+    }
+
+    /// Whether the proof is younger than `bound`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::evidence::ConfigEvidence;
+    /// let mut evidence = ConfigEvidence::default();
+    /// evidence.prove(MilliTime(1_000));
+    /// assert!(evidence.is_fresh(MilliTime(2_000), Duration::from_secs(3)));
+    /// assert!(!evidence.is_fresh(MilliTime(4_000), Duration::from_secs(3)));
+    /// ```
+    pub fn is_fresh(&self, now: MilliTime, bound: Duration) -> bool {
+        self.age(now).is_some_and(|age| age < bound)
+    }
+}
--- /dev/null
+++ b/src/policy/load_average.rs
@@ -0,0 +1,129 @@
+//! Averages that forget: of samples, and of rates over time.
+
+use crate::clock::MilliTime;
+
+/// An exponentially weighted mean of samples.
+#[derive(Clone, Copy, Debug)]
+pub struct SampleAverage {
+    weight: f64,
+    mean: Option<f64>,
+}
+
+impl SampleAverage {
+    /// An average in which each new sample has this weight, between 0 and 1.
+    ///
+    /// ```
+    /// use lentilway::policy::load_average::SampleAverage;
+    /// let mut average = SampleAverage::new(0.5);
+    /// average.add(10.0);
+    /// average.add(20.0);
+    /// assert_eq!(average.mean_or(0.0), 15.0);
+    /// ```
+    pub fn new(weight: f64) -> Self {
+        SampleAverage { weight, mean: None }
+    }
+
+    /// Takes a sample in.
+    pub fn add(&mut self, sample: f64) {
+        let mean = self.mean.get_or_insert(sample);
+        *mean += self.weight * (sample - *mean);
+    }
+
+    /// The mean, or `default` before the first sample.
+    pub fn mean_or(&self, default: f64) -> f64 {
+        self.mean.unwrap_or(default)
+    }
+}
+
+/// A rate per second, averaged with an exponential window.
+#[derive(Clone, Copy, Debug)]
+pub struct RateAverage {
+    window_seconds: f64,
+    per_second: f64,
+    updated: MilliTime,
+}
+
+impl RateAverage {
+    /// A rate of zero, averaged over a window of this many seconds.
+    pub fn new(window_seconds: f64, now: MilliTime) -> Self {
+        RateAverage { window_seconds, per_second: 0.0, updated: now }
+    }
+
+    /// Counts `amount` at `now`.
+    pub fn add(&mut self, now: MilliTime, amount: f64) {
+        self.decay(now);
+        self.per_second += amount / self.window_seconds;
+    }
+
+    /// The rate at `now`.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::load_average::RateAverage;
+    /// let mut rate = RateAverage::new(1.0, MilliTime(0));
+    /// rate.add(MilliTime(0), 5.0);
+    /// assert_eq!(rate.per_second(MilliTime(0)), 5.0);
+    /// assert!(rate.per_second(MilliTime(1000)) < 2.0);
+    /// ```
+    pub fn per_second(&mut self, now: MilliTime) -> f64 {
+        self.decay(now);
+        self.per_second
+    }
+
+    fn decay(&mut self, now: MilliTime) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        if elapsed > 0.0 {
+            self.per_second *= (-elapsed / self.window_seconds).exp();
+            self.updated = now;
+        }
+    }
+}
+
+/// The part of late events that failed; it fades with time, so that a source that is avoided for
+/// its failures is tried again.
+#[derive(Clone, Copy, Debug)]
+pub struct FailurePart {
+    failures: RateAverage,
+    events: RateAverage,
+}
+
+/// Window of the rates, in seconds.
+const FAILURE_WINDOW_SECONDS: f64 = 2.0;
+/// Successes a second that are assumed beside those seen.
+const ASSUMED_SUCCESSES: f64 = 1.0;
+
+impl FailurePart {
+    /// No failures.
+    pub fn new(now: MilliTime) -> Self {
+        let rate = RateAverage::new(FAILURE_WINDOW_SECONDS, now);
+        FailurePart { failures: rate, events: rate }
+    }
+
+    /// Takes an event in.
+    pub fn add(&mut self, now: MilliTime, failed: bool) {
+        self.events.add(now, 1.0);
+        if failed {
+            self.failures.add(now, 1.0);
+        }
+    }
+
+    /// The part that failed, between 0 and 1.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::load_average::FailurePart;
+    /// let mut part = FailurePart::new(MilliTime(0));
+    /// (0..10).for_each(|_| part.add(MilliTime(0), true));
+    /// assert!(part.part(MilliTime(0)) > 0.8);
+    /// assert!(part.part(MilliTime(10_000)) < 0.1);
+    /// ```
+    pub fn part(&mut self, now: MilliTime) -> f64 {
+        let events = self.events.per_second(now) + ASSUMED_SUCCESSES;
+        self.failures.per_second(now) / events
+    }
+
+    /// [`FailurePart::part`] in thousandths.
+    pub fn permille(&mut self, now: MilliTime) -> u16 {
+        (self.part(now) * 1_000.0) as u16
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,18 @@
+//! Decisions under load and faults, apart from input and output.
+//!
+//! Every type here is driven by its caller with inputs and times, opens no connection and starts
+//! no task. Each module names the load pattern that its decision answers; the tests under
+//! `tests/suite/policy` replay those patterns.
+
+pub mod door_queue;
+pub mod evidence;
+pub mod incarnation;
+pub mod load_average;
+pub mod placement;
+pub mod request_rank;
+pub mod retry_allowance;
+pub mod return_time;
+pub mod root_admission;
+pub mod run_book;
+pub mod token_share;
+pub mod weighted_split;
--- /dev/null
+++ b/src/policy/placement.rs
@@ -0,0 +1,99 @@
+//! Chooses the instance that a request is sent to.
+//!
+//! Answers instances of one service that differ in speed by more than two at equal slots, that
+//! turn slow or fail while they call themselves healthy, and availability zones that are short of
+//! room: the cheapest by expected finish takes the request. The own availability zone is preferred
+//! while that costs little time, since traffic between zones is paid for.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What the daemon beside a backend server says of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DoorLoad {
+    /// Requests that may run at a time; 0 while the backend server takes no work.
+    pub slots: u32,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Mean time of a run, in microseconds.
+    pub service_micros: u32,
+    /// Thousandths of late runs that failed.
+    pub failed_permille: u16,
+    /// Demand for the backend server's slots, in thousandths of them.
+    pub demand_permille: u32,
+}
+
+/// One instance that may take a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementCandidate {
+    /// The load that it last reported.
+    pub load: DoorLoad,
+    /// Requests sent there from here and not answered.
+    pub in_flight: u32,
+    /// Requests that the last report already counts.
+    pub in_flight_at_report: u32,
+    /// Whether it is in the availability zone of the sender.
+    pub same_zone: bool,
+    /// Thousandths of late requests sent there from here that failed.
+    pub failed_permille: u16,
+}
+
+/// Time by which another availability zone must be faster to be worth its traffic.
+pub const ZONE_PENALTY: Duration = Duration::from_millis(60);
+/// What a certain failure costs, as time.
+const FAILURE_PENALTY: Duration = Duration::from_secs(4);
+/// Share of the slots above which waiting is expected; backend servers slow down when nearly full.
+const BUSY_PART: f64 = 0.85;
+
+impl PlacementCandidate {
+    /// The expected time to finish in milliseconds, with penalties; infinite without slots.
+    ///
+    /// A server of `s` slots with `n` requests finishes a new one after about `t * n / s` once it
+    /// is full, and after `t` before.
+    pub fn expected_millis(&self) -> f64 {
+        if self.load.slots == 0 {
+            return f64::INFINITY;
+        }
+        let service = f64::from(self.load.service_micros.max(1_000)) / 1_000.0;
+        let newly_sent = self.in_flight.saturating_sub(self.in_flight_at_report);
+        let requests = f64::from(self.load.running + self.load.waiting + newly_sent + 1);
+        let fullness = requests / f64::from(self.load.slots);
+        let crowding = (fullness - BUSY_PART).max(0.0) / BUSY_PART;
+        let zone = if self.same_zone { 0.0 } else { ZONE_PENALTY.as_secs_f64() * 1_000.0 };
+        let failed = f64::from(self.failed_permille.max(self.load.failed_permille)) / 1_000.0;
+        let failure = failed * FAILURE_PENALTY.as_secs_f64() * 1_000.0;
+        service * (1.0 + 0.25 * fullness + 2.0 * crowding) + zone + failure
+    }
+}
+
+/// The index of the cheapest candidate; `draw` yields numbers from 0 to 1 that keep senders with
+/// equal knowledge from choosing alike.
+///
+/// ```
+/// use lentilway::policy::placement::{DoorLoad, PlacementCandidate, choose_instance};
+/// let load = DoorLoad { slots: 10, service_micros: 50_000, ..DoorLoad::default() };
+/// let idle = PlacementCandidate {
+///     load, in_flight: 0, in_flight_at_report: 0, same_zone: true, failed_permille: 0,
+/// };
+/// let full = PlacementCandidate { load: DoorLoad { running: 30, ..load }, ..idle };
+/// assert_eq!(choose_instance(&[full, idle], || 0.5), Some(1));
+/// ```
+pub fn choose_instance(
+    candidates: &[PlacementCandidate],
+    mut draw: impl FnMut() -> f64,
+) -> Option<usize> {
+    let mut best: Option<(f64, usize)> = None;
+    for (index, candidate) in candidates.iter().enumerate() {
+        let cost = candidate.expected_millis() * (1.0 + JITTER * draw());
+        if cost.is_finite() && best.is_none_or(|(lowest, _)| cost < lowest) {
+            best = Some((cost, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
+
+/// Spread of the costs that breaks ties between instances.
+const JITTER: f64 = 0.1;
--- /dev/null
+++ b/src/policy/return_time.rs
@@ -0,0 +1,28 @@
+//! When a refused caller should come back.
+//!
+//! Answers a crowd of callers refused at one moment: they return spread over the time in which
+//! room is expected, and early enough to use the time that they have left.
+
+use std::time::Duration;
+
+/// The part of the remaining time that a caller is asked to wait at most; callers ignore more than
+/// a third.
+const REMAINING_PART_MAX: f64 = 0.3;
+/// Room is expected within this time unless the refusing side knows better.
+const EXPECTED_ROOM: Duration = Duration::from_millis(600);
+/// No caller is asked to come back sooner.
+const WAIT_MIN: Duration = Duration::from_millis(50);
+
+/// The time to wait: between half and one and a half times the expected time, by `draw` (0 to 1),
+/// within the caller's remaining time.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::policy::return_time::return_after;
+/// let wait = return_after(Duration::from_secs(1), None, 0.5);
+/// assert_eq!(wait, Duration::from_millis(300));
+/// ```
+pub fn return_after(remaining: Duration, room_in: Option<Duration>, draw: f64) -> Duration {
+    let expected = room_in.unwrap_or(EXPECTED_ROOM).mul_f64(0.5 + draw);
+    expected.min(remaining.mul_f64(REMAINING_PART_MAX)).max(WAIT_MIN)
+}
--- /dev/null
+++ b/src/policy/token_share.rs
@@ -0,0 +1,174 @@
+//! One daemon's part of an organisation's rate.
+//!
+//! Answers an organisation that sends many times its rate through all daemons while daemons are
+//! killed, frozen and cut off. Every daemon mints an equal part of the rate. Tokens that it does
+//! not need go to the pool, the daemon chosen for the organisation by rendezvous hashing; a daemon
+//! that runs out asks the pool. A sender deducts tokens before they leave, so tokens are lost with
+//! daemons and messages but never made twice, whatever the daemons believe about each other.
+
+use std::time::Duration;
+
+use super::load_average::RateAverage;
+use crate::clock::MilliTime;
+
+/// Time of own demand for which tokens are kept back from the pool.
+const RESERVE_SPAN: Duration = Duration::from_millis(400);
+/// Part of the burst that the pool may hold; the rest may stand at the daemons.
+const POOL_PART: f64 = 0.6;
+/// Window of the rate of own demand, in seconds.
+const DEMAND_WINDOW_SECONDS: f64 = 1.0;
+/// Amounts below this are not worth a message.
+const SURPLUS_MIN: f64 = 0.25;
+
+/// Rate and burst of an organisation over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateTerms {
+    /// Requests a second.
+    pub per_second: f64,
+    /// Requests at once.
+    pub burst: f64,
+}
+
+/// Tokens of one organisation at one daemon.
+#[derive(Clone, Debug)]
+pub struct TokenShare {
+    terms: RateTerms,
+    members: usize,
+    is_pool: bool,
+    mints: bool,
+    tokens: f64,
+    minted: MilliTime,
+    demand: RateAverage,
+}
+
+impl TokenShare {
+    /// A share without tokens.
+    pub fn new(now: MilliTime, terms: RateTerms) -> Self {
+        TokenShare {
+            terms,
+            members: 1,
+            is_pool: false,
+            mints: false,
+            tokens: 0.0,
+            minted: now,
+            demand: RateAverage::new(DEMAND_WINDOW_SECONDS, now),
+        }
+    }
+
+    /// Sets the terms, the number of daemons that mint, whether this one does, and whether it is
+    /// the pool. Tokens above a lowered bound are dropped.
+    pub fn set_terms(
+        &mut self,
+        now: MilliTime,
+        terms: RateTerms,
+        members: usize,
+        mints: bool,
+        is_pool: bool,
+    ) {
+        self.mint(now);
+        self.terms = terms;
+        self.members = members.max(1);
+        self.mints = mints;
+        self.is_pool = is_pool;
+        self.tokens = self.tokens.min(self.tokens_max());
+    }
+
+    /// Takes a token for one request; `false` if there is none now.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::token_share::{RateTerms, TokenShare};
+    /// let terms = RateTerms { per_second: 10.0, burst: 10.0 };
+    /// let mut share = TokenShare::new(MilliTime(0), terms);
+    /// share.set_terms(MilliTime(0), terms, 2, true, false);
+    /// assert!(!share.take(MilliTime(0)));
+    /// assert!(share.take(MilliTime(200)));
+    /// ```
+    pub fn take(&mut self, now: MilliTime) -> bool {
+        self.demand.add(now, 1.0);
+        self.retake(now)
+    }
+
+    /// Like [`TokenShare::take`] for a request that was counted before.
+    pub fn retake(&mut self, now: MilliTime) -> bool {
+        self.mint(now);
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+
+    /// Hands back the token of a request that was refused.
+    pub fn hand_back(&mut self) {
+        self.receive(1.0);
+    }
+
+    /// Takes what is not needed here, for the pool.
+    pub fn take_surplus(&mut self, now: MilliTime) -> Option<f64> {
+        self.mint(now);
+        if self.is_pool {
+            return None;
+        }
+        let surplus = self.tokens - self.reserve(now);
+        if surplus < SURPLUS_MIN {
+            return None;
+        }
+        self.tokens -= surplus;
+        Some(surplus)
+    }
+
+    /// Tokens to ask the pool for, if own demand needs them.
+    pub fn wanted(&mut self, now: MilliTime) -> Option<f64> {
+        self.mint(now);
+        let reserve = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64();
+        let wanted = reserve.max(1.0) - self.tokens;
+        (!self.is_pool && wanted >= SURPLUS_MIN).then_some(wanted)
+    }
+
+    /// Tokens to ask the pool for ahead of expected demand.
+    pub fn wanted_by_demand(&mut self, now: MilliTime) -> Option<f64> {
+        let is_asked = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64() >= SURPLUS_MIN;
+        is_asked.then(|| self.wanted(now)).flatten()
+    }
+
+    /// Lends up to `wanted` tokens; they are gone from here.
+    pub fn lend(&mut self, now: MilliTime, wanted: f64) -> f64 {
+        self.mint(now);
+        let lent = wanted.min(self.tokens).max(0.0);
+        self.tokens -= lent;
+        lent
+    }
+
+    /// Takes tokens in; those over the bound are dropped.
+    pub fn receive(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.tokens_max().max(self.tokens));
+    }
+
+    /// Tokens in hand.
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    fn mint(&mut self, now: MilliTime) {
+        let elapsed = now.since(self.minted).as_secs_f64();
+        self.minted = self.minted.max(now);
+        if self.mints {
+            let minted = elapsed * self.terms.per_second / self.members as f64;
+            self.receive(minted);
+        }
+    }
+
+    /// The burst is divided so that all daemons together hold no more than it.
+    fn tokens_max(&self) -> f64 {
+        let equal_part = self.terms.burst * (1.0 - POOL_PART) / self.members as f64;
+        let pooled = if self.is_pool { self.terms.burst * POOL_PART } else { 0.0 };
+        (equal_part + pooled).max(1.0)
+    }
+
+    fn reserve(&mut self, now: MilliTime) -> f64 {
+        let needed = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64();
+        let idle = self.terms.burst * (1.0 - POOL_PART) / self.members as f64;
+        needed.max(idle.min(1.0))
+    }
+}
--- /dev/null
+++ b/src/sidecar/connection/backend_pool.rs
@@ -0,0 +1,265 @@
+//! Connections to the backend server, and one exchange on one of them.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::clock::{MilliClock, MilliTime};
+use crate::request::header::end_to_end;
+use crate::sidecar::process::wire_dialect::HeaderNames;
+use crate::sidecar::request::context::{
+    BackendAnswer, CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
+};
+
+/// A backend server on the same machine takes a connection within this time or not at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle connections are used again for this long; backend servers close theirs after seconds.
+const IDLE_MAX: Duration = Duration::from_secs(4);
+/// The same for a request that must not run twice: after a reset nobody knows whether it ran.
+const IDLE_MAX_ONCE: Duration = Duration::from_millis(1_500);
+/// Margin before the backend server's own announced idle timeout.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Bytes of an answer's body that are held at most.
+const ANSWER_BYTES_MAX: usize = 64 << 20;
+
+/// The backend server that an exchange is meant for.
+#[derive(Clone, Debug)]
+pub(crate) struct BackendTarget {
+    pub(crate) address: SocketAddr,
+    pub(crate) id: Arc<str>,
+}
+
+/// Aborts the task of a connection, which closes the connection.
+#[derive(Debug)]
+struct ConnectionTask(JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct PooledConnection {
+    sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    idle_since: MilliTime,
+    idle_max: Duration,
+    _task: ConnectionTask,
+}
+
+/// Idle connections to the backend server.
+#[derive(Debug)]
+pub(crate) struct BackendPool {
+    clock: MilliClock,
+    headers: HeaderNames,
+    idle: Mutex<Vec<PooledConnection>>,
+}
+
+enum ExchangeFault {
+    Broken,
+    Spoiled,
+}
+
+impl BackendPool {
+    pub(crate) fn new(clock: MilliClock, headers: HeaderNames) -> Self {
+        BackendPool { clock, headers, idle: Mutex::default() }
+    }
+
+    /// Closes every idle connection.
+    pub(crate) fn clear(&self) {
+        self.idle.lock().expect("no holder panics").clear();
+    }
+
+    /// Sends a request and receives the whole answer; dropping the future closes the connection.
+    pub(crate) async fn exchange(
+        &self,
+        target: &BackendTarget,
+        context: &CallContext,
+        request: &ForwardRequest,
+        remaining: Duration,
+        runs_once: bool,
+    ) -> CallOutcome {
+        let Some(mut outgoing) = self.outgoing(target, context, request, remaining) else {
+            return CallOutcome::NotRun { cause: NotRunCause::BackendRefused, room_millis: 0 };
+        };
+        loop {
+            let pooled = self.take_idle(target.address, runs_once);
+            let is_pooled = pooled.is_some();
+            let connection = match pooled {
+                Some(connection) => connection,
+                None => match self.connect(target.address).await {
+                    Ok(connection) => connection,
+                    Err(_) => {
+                        let cause = NotRunCause::Unreachable;
+                        return CallOutcome::NotRun { cause, room_millis: 0 };
+                    }
+                },
+            };
+            let mut connection = connection;
+            match connection.sender.try_send_request(outgoing).await {
+                Ok(answer) => {
+                    return self.finish(connection, answer, context).await;
+                }
+                Err(mut error) => match error.take_message() {
+                    // The connection was closed before anything was written on it.
+                    Some(unsent) if is_pooled => outgoing = unsent,
+                    Some(_) => {
+                        let cause = NotRunCause::Unreachable;
+                        return CallOutcome::NotRun { cause, room_millis: 0 };
+                    }
+                    None => return CallOutcome::Unknown(UnknownCause::Broken),
+                },
+            }
+        }
+    }
+
+    async fn finish(
+        &self,
+        mut connection: PooledConnection,
+        answer: Response<hyper::body::Incoming>,
+        context: &CallContext,
+    ) -> CallOutcome {
+        let keep_alive = keep_alive_timeout(answer.headers());
+        let closes = says_close(answer.headers());
+        match self.receive(answer, context).await {
+            Ok(outcome) => {
+                if !closes && !connection.sender.is_closed() {
+                    connection.idle_max = keep_alive.unwrap_or(IDLE_MAX).min(IDLE_MAX);
+                    connection.idle_since = self.clock.now();
+                    self.idle.lock().expect("no holder panics").push(connection);
+                }
+                outcome
+            }
+            Err(ExchangeFault::Broken) => CallOutcome::Unknown(UnknownCause::Broken),
+            Err(ExchangeFault::Spoiled) => CallOutcome::Unknown(UnknownCause::Spoiled),
+        }
+    }
+
+    async fn receive(
+        &self,
+        answer: Response<hyper::body::Incoming>,
+        context: &CallContext,
+    ) -> Result<CallOutcome, ExchangeFault> {
+        let (parts, body) = answer.into_parts();
+        let id = parts.headers.get(&self.headers.request_id);
+        if id.is_some_and(|id| id.as_bytes() != context.request_id.as_bytes()) {
+            return Err(ExchangeFault::Spoiled);
+        }
+        let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
+        let body = body.map_err(|_| ExchangeFault::Broken)?.to_bytes();
+        let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+        if is_misdirected || parts.headers.contains_key(&self.headers.not_run) {
+            let cause = NotRunCause::BackendRefused;
+            return Ok(CallOutcome::NotRun { cause, room_millis: 0 });
+        }
+        let is_signed = parts.headers.contains_key(&self.headers.signature);
+        let is_encoded = parts.headers.contains_key(CONTENT_ENCODING);
+        let is_proven = id_matches(&parts.headers, &self.headers.request_id, context);
+        if parts.status.is_success() && (!is_signed || is_encoded || !is_proven) {
+            return Err(ExchangeFault::Spoiled);
+        }
+        let headers = list_headers(&end_to_end(&parts.headers));
+        let status = parts.status.as_u16();
+        Ok(CallOutcome::Answered(BackendAnswer { status, headers, body }))
+    }
+
+    fn outgoing(
+        &self,
+        target: &BackendTarget,
+        context: &CallContext,
+        request: &ForwardRequest,
+        remaining: Duration,
+    ) -> Option<Request<Full<Bytes>>> {
+        let builder = Request::builder().method(request.method.as_str());
+        let builder = builder.uri(request.path.as_str());
+        let mut outgoing = builder.body(Full::new(request.body.clone())).ok()?;
+        let headers = outgoing.headers_mut();
+        for (name, value) in &request.headers {
+            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+            headers.append(name, HeaderValue::from_maybe_shared(value.clone()).ok()?);
+        }
+        let names = &self.headers;
+        headers.insert(&names.request_id, text_value(&context.request_id)?);
+        headers.insert(&names.target, text_value(&target.id)?);
+        headers.insert(&names.caller_service, text_value(&context.caller_service)?);
+        headers.insert(&names.deadline_millis, HeaderValue::from(remaining.as_millis() as u64));
+        if let Some(organisation) = &context.organisation {
+            headers.insert(&names.organisation, text_value(organisation)?);
+        }
+        Some(outgoing)
+    }
+
+    fn take_idle(&self, address: SocketAddr, runs_once: bool) -> Option<PooledConnection> {
+        let now = self.clock.now();
+        let bound = if runs_once { IDLE_MAX_ONCE } else { IDLE_MAX };
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let is_usable = |connection: &PooledConnection| {
+            let age = now.since(connection.idle_since);
+            connection.address == address
+                && age < connection.idle_max
+                && !connection.sender.is_closed()
+        };
+        idle.retain(is_usable);
+        let newest = idle.last()?;
+        if now.since(newest.idle_since) >= bound || !newest.sender.is_ready() {
+            return None;
+        }
+        idle.pop()
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<PooledConnection> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let task = tokio::spawn(async move {
+            // The exchange on the connection sees its error.
+            let _ = connection.await;
+        });
+        Ok(PooledConnection {
+            sender,
+            address,
+            idle_since: self.clock.now(),
+            idle_max: IDLE_MAX,
+            _task: ConnectionTask(task),
+        })
+    }
+}
+
+fn id_matches(headers: &HeaderMap, name: &HeaderName, context: &CallContext) -> bool {
+    headers.get(name).is_some_and(|id| id.as_bytes() == context.request_id.as_bytes())
+}
+
+fn text_value(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(text).ok()
+}
+
+/// Copies headers into the form in which they travel between daemons.
+pub(crate) fn list_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let copy = |value: &HeaderValue| Bytes::copy_from_slice(value.as_bytes());
+    headers.iter().map(|(name, value)| (name.as_str().to_owned(), copy(value))).collect()
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let value = headers.get(CONNECTION).and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// The idle timeout that the backend server states, less a margin.
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let stated = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = stated.parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
--- /dev/null
+++ b/src/sidecar/connection/mod.rs
@@ -0,0 +1,6 @@
+//! What lives for one connection: links between daemons and to the backend server.
+
+pub(crate) mod backend_pool;
+pub(crate) mod frame;
+pub(crate) mod peer_link;
+pub(crate) mod peer_server;
--- /dev/null
+++ b/src/sidecar/connection/peer_link.rs
@@ -0,0 +1,171 @@
+//! The connection to another daemon, for calls to its backend server.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use super::frame::{FrameReader, LinkFault, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use crate::sidecar::process::peer_table::PeerEntry;
+use crate::sidecar::process::sidecar_shared::SidecarShared;
+
+/// Time between signs of life on a link.
+pub(crate) const ALIVE_INTERVAL: Duration = Duration::from_millis(600);
+/// A link on which nothing was heard for this long is dead: three signs of life are missing.
+pub(crate) const SILENCE_MAX: Duration = Duration::from_millis(2_000);
+/// Another daemon takes a connection within this time, or the link is tried again.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+const RECONNECT_PAUSE_MAX: Duration = Duration::from_millis(1_200);
+
+/// A live connection to another daemon.
+#[derive(Debug)]
+pub(crate) struct PeerLink {
+    sender: mpsc::UnboundedSender<PeerMessage>,
+    pending: Mutex<HashMap<u64, oneshot::Sender<PeerAnswer>>>,
+    next_number: AtomicU64,
+}
+
+/// Tells the other daemon that nobody waits for the call any more, unless it was answered.
+struct CallGuard<'a> {
+    link: &'a PeerLink,
+    number: u64,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        let waiting = self.link.pending.lock().expect("no holder panics").remove(&self.number);
+        if waiting.is_some() {
+            self.link.send(PeerMessage::Cancel(self.number));
+        }
+    }
+}
+
+impl PeerLink {
+    fn new(sender: mpsc::UnboundedSender<PeerMessage>) -> Self {
+        PeerLink { sender, pending: Mutex::default(), next_number: AtomicU64::new(0) }
+    }
+
+    /// Queues a message; one for a link that has ended is dropped with it.
+    pub(crate) fn send(&self, message: PeerMessage) {
+        let _ = self.sender.send(message);
+    }
+
+    /// Sends a call and waits for its answer; `None` if the link ends first.
+    pub(crate) async fn call(&self, mut call: PeerCall) -> Option<PeerAnswer> {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        call.number = number;
+        let (sender, receiver) = oneshot::channel();
+        self.pending.lock().expect("no holder panics").insert(number, sender);
+        let _guard = CallGuard { link: self, number };
+        if self.sender.send(PeerMessage::Call(Box::new(call))).is_err() {
+            return None;
+        }
+        receiver.await.ok()
+    }
+
+    fn answer(&self, answer: PeerAnswer) {
+        let waiting = self.pending.lock().expect("no holder panics").remove(&answer.number);
+        if let Some(waiting) = waiting {
+            // The caller may have gone in this moment.
+            let _ = waiting.send(answer);
+        }
+    }
+
+    /// Ends every call; their outcome stays unknown.
+    fn abandon_calls(&self) {
+        self.pending.lock().expect("no holder panics").clear();
+    }
+}
+
+/// Keeps a link to `peer` open until the task is aborted.
+pub(crate) async fn keep_link(shared: Arc<SidecarShared>, peer: Arc<PeerEntry>) {
+    let mut pause = RECONNECT_PAUSE;
+    loop {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await;
+        if let Ok(Ok(stream)) = connected {
+            let fault = run_link(&shared, &peer, stream).await;
+            peer.link_ended();
+            shared.note_peer(&peer, false, &fault);
+            pause = RECONNECT_PAUSE;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(RECONNECT_PAUSE_MAX);
+    }
+}
+
+async fn run_link(
+    shared: &Arc<SidecarShared>,
+    peer: &Arc<PeerEntry>,
+    stream: TcpStream,
+) -> LinkFault {
+    if let Err(source) = stream.set_nodelay(true) {
+        return LinkFault::Socket { source };
+    }
+    let (read_half, write_half) = stream.into_split();
+    let (sender, queue) = mpsc::unbounded_channel();
+    let link = Arc::new(PeerLink::new(sender));
+    let writing = write_frames(write_half, queue);
+    let reading = read_answers(shared, peer, &link, FrameReader::new(read_half));
+    let fault = tokio::select! {
+        result = writing => result.err().unwrap_or(LinkFault::Closed),
+        fault = reading => fault,
+    };
+    link.abandon_calls();
+    fault
+}
+
+async fn read_answers(
+    shared: &Arc<SidecarShared>,
+    peer: &Arc<PeerEntry>,
+    link: &Arc<PeerLink>,
+    mut reader: FrameReader,
+) -> LinkFault {
+    let mut alive = interval(ALIVE_INTERVAL);
+    alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut silence = std::pin::pin!(sleep(SILENCE_MAX));
+    loop {
+        tokio::select! {
+            biased;
+            message = reader.read() => match message {
+                Ok(message) => {
+                    silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_MAX);
+                    take_message(shared, peer, link, message);
+                }
+                Err(fault) => return fault,
+            },
+            _ = alive.tick() => link.send(PeerMessage::Alive),
+            () = &mut silence => return LinkFault::Silent,
+        }
+    }
+}
+
+fn take_message(
+    shared: &Arc<SidecarShared>,
+    peer: &Arc<PeerEntry>,
+    link: &Arc<PeerLink>,
+    message: PeerMessage,
+) {
+    match message {
+        PeerMessage::Load(load) => {
+            if peer.link_reported(link, load) {
+                shared.note_peer(peer, true, &"connected");
+            }
+            shared.observe_load(peer, &load);
+        }
+        PeerMessage::Answer(answer) => {
+            peer.link_reported(link, answer.load);
+            shared.observe_load(peer, &answer.load);
+            link.answer(*answer);
+        }
+        PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+        PeerMessage::Alive
+        | PeerMessage::Call(_)
+        | PeerMessage::Cancel(_)
+        | PeerMessage::WantTokens(_) => {}
+    }
+}
--- /dev/null
+++ b/src/sidecar/connection/peer_server.rs
@@ -0,0 +1,127 @@
+//! Serves the calls of other daemons.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::frame::{FrameReader, LinkFault, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use super::peer_link::{ALIVE_INTERVAL, SILENCE_MAX};
+use crate::connection::listener::accept;
+use crate::sidecar::process::backend_door::DoorCall;
+use crate::sidecar::process::sidecar_shared::SidecarShared;
+
+/// Accepts links of other daemons until the task is aborted.
+pub(crate) async fn serve_peers(shared: Arc<SidecarShared>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        tokio::spawn(serve_link(shared.clone(), stream));
+    }
+}
+
+/// Calls that run for one link; they end with it.
+#[derive(Default)]
+struct LinkCalls {
+    running: HashMap<u64, AbortHandle>,
+}
+
+impl Drop for LinkCalls {
+    fn drop(&mut self) {
+        self.running.values().for_each(AbortHandle::abort);
+    }
+}
+
+async fn serve_link(shared: Arc<SidecarShared>, stream: TcpStream) {
+    let (read_half, write_half) = stream.into_split();
+    let (sender, queue) = mpsc::unbounded_channel();
+    let mut reader = FrameReader::new(read_half);
+    // How a link ended is logged by the daemon that opened it.
+    tokio::select! {
+        _ = write_frames(write_half, queue) => {}
+        _ = read_calls(&shared, &mut reader, sender) => {}
+    }
+}
+
+async fn read_calls(
+    shared: &Arc<SidecarShared>,
+    reader: &mut FrameReader,
+    sender: mpsc::UnboundedSender<PeerMessage>,
+) -> LinkFault {
+    let mut calls = LinkCalls::default();
+    let (ended_sender, mut ended) = mpsc::unbounded_channel();
+    let mut changes = shared.door.subscribe();
+    let mut alive = interval(ALIVE_INTERVAL);
+    alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut silence = std::pin::pin!(sleep(SILENCE_MAX));
+    loop {
+        tokio::select! {
+            biased;
+            message = reader.read() => {
+                let message = match message {
+                    Ok(message) => message,
+                    Err(fault) => return fault,
+                };
+                silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_MAX);
+                match message {
+                    PeerMessage::Call(call) => {
+                        let number = call.number;
+                        let run = run_call(shared.clone(), call, sender.clone(), ended_sender.clone());
+                        calls.running.insert(number, tokio::spawn(run).abort_handle());
+                    }
+                    PeerMessage::Cancel(number) => {
+                        calls.running.remove(&number).iter().for_each(AbortHandle::abort);
+                    }
+                    PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+                    PeerMessage::WantTokens(wants) => {
+                        let lent = shared.quota.lend(&wants);
+                        if !lent.is_empty() && sender.send(PeerMessage::Tokens(lent)).is_err() {
+                            return LinkFault::Closed;
+                        }
+                    }
+                    PeerMessage::Alive | PeerMessage::Load(_) | PeerMessage::Answer(_) => {}
+                }
+            }
+            Some(number) = ended.recv() => {
+                calls.running.remove(&number);
+            }
+            _ = changes.changed() => {
+                if sender.send(PeerMessage::Load(shared.door.load())).is_err() {
+                    return LinkFault::Closed;
+                }
+            }
+            _ = alive.tick() => {
+                if sender.send(PeerMessage::Load(shared.door.load())).is_err() {
+                    return LinkFault::Closed;
+                }
+            }
+            () = &mut silence => return LinkFault::Silent,
+        }
+    }
+}
+
+async fn run_call(
+    shared: Arc<SidecarShared>,
+    call: Box<PeerCall>,
+    sender: mpsc::UnboundedSender<PeerMessage>,
+    ended: mpsc::UnboundedSender<u64>,
+) {
+    let now = shared.clock.now();
+    let PeerCall { number, context, request, deadline_millis, due_millis, runs_once } = *call;
+    let call = DoorCall {
+        context,
+        request,
+        accepted: now,
+        deadline: now + Duration::from_millis(u64::from(deadline_millis)),
+        due: now + Duration::from_millis(u64::from(due_millis)),
+        runs_once,
+    };
+    let (outcome, costs) = shared.run_at_door(&call).await;
+    let load = shared.door.load();
+    // A link that has ended needs neither.
+    let _ = sender.send(PeerMessage::Answer(Box::new(PeerAnswer { number, outcome, costs, load })));
+    let _ = ended.send(number);
+}
--- /dev/null
+++ b/src/sidecar/process/backend_door.rs
@@ -0,0 +1,326 @@
+//! The only way to the backend server beside this daemon.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use crate::clock::{MilliClock, MilliTime};
+use crate::policy::door_queue::{
+    DoorQueue, DoorRefusal, DoorRequest, DoorVerdict, WaitOutcome, WaitTicket,
+};
+use crate::policy::placement::DoorLoad;
+use crate::policy::root_admission::{CostList, SlotCost, add_cost};
+use crate::policy::run_book::{RunBook, RunEntry};
+use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget};
+use crate::sidecar::request::context::{
+    CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
+};
+
+/// Time left after the deadline that is handed to the backend server, for its answer to arrive.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+
+/// What is known of a run for the calls that it makes.
+#[derive(Debug)]
+pub(crate) struct RunNotes {
+    pub(crate) context: CallContext,
+    pub(crate) due: MilliTime,
+    costs: Mutex<CostList>,
+    call_failed: AtomicBool,
+}
+
+impl RunNotes {
+    /// Takes in a call of the run that ended.
+    pub(crate) fn call_ended(&self, costs: &CostList, succeeded: bool) {
+        let mut sum = self.costs.lock().expect("no holder panics");
+        costs.iter().for_each(|cost| add_cost(&mut sum, cost.clone()));
+        if !succeeded {
+            self.call_failed.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A request at the door with its times.
+#[derive(Clone, Debug)]
+pub(crate) struct DoorCall {
+    pub(crate) context: CallContext,
+    pub(crate) request: ForwardRequest,
+    pub(crate) accepted: MilliTime,
+    pub(crate) deadline: MilliTime,
+    pub(crate) due: MilliTime,
+    /// Whether it must not run twice.
+    pub(crate) runs_once: bool,
+}
+
+impl DoorCall {
+    /// The time between acceptance and deadline.
+    pub(crate) fn planned_time(&self) -> Duration {
+        self.deadline.since(self.accepted)
+    }
+}
+
+#[derive(Debug)]
+struct DoorState {
+    queue: DoorQueue,
+    waiters: HashMap<WaitTicket, oneshot::Sender<WaitOutcome>>,
+    runs: RunBook<Arc<RunNotes>>,
+    target: Option<BackendTarget>,
+}
+
+/// Admits requests to the backend server and exchanges them.
+#[derive(Debug)]
+pub(crate) struct BackendDoor {
+    clock: MilliClock,
+    service: Arc<str>,
+    pool: BackendPool,
+    state: Mutex<DoorState>,
+    /// Rises when the load changed so much that others should know at once.
+    changed: watch::Sender<u64>,
+}
+
+/// Gives up a place in the queue when its request is dropped.
+struct WaitGuard<'a> {
+    door: &'a BackendDoor,
+    ticket: WaitTicket,
+    receiver: oneshot::Receiver<WaitOutcome>,
+    is_told: bool,
+}
+
+impl WaitGuard<'_> {
+    async fn wait(mut self) -> WaitOutcome {
+        let outcome = (&mut self.receiver).await;
+        self.is_told = true;
+        outcome.unwrap_or(WaitOutcome::Refuse(DoorRefusal::NoBackend))
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        if self.is_told {
+            return;
+        }
+        match self.receiver.try_recv() {
+            // The slot was given in the moment in which the request was dropped.
+            Ok(WaitOutcome::Run) => self.door.release(),
+            Ok(WaitOutcome::Refuse(_)) => {}
+            Err(_) => self.door.abandon(self.ticket),
+        }
+    }
+}
+
+/// A run in progress; dropping it frees the slot.
+struct RunGuard<'a> {
+    door: &'a BackendDoor,
+    entry: RunEntry,
+    notes: Arc<RunNotes>,
+    started: MilliTime,
+    failed: Option<bool>,
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.door.clock.now();
+        let mut state = self.door.lock();
+        state.runs.end(self.entry);
+        match self.failed {
+            Some(failed) => {
+                let elapsed = (!failed).then(|| now.since(self.started));
+                state.queue.finish(now, elapsed, failed);
+            }
+            None => state.queue.release(),
+        }
+        self.door.start_waiting(&mut state);
+    }
+}
+
+impl BackendDoor {
+    pub(crate) fn new(clock: MilliClock, service: Arc<str>, pool: BackendPool) -> Self {
+        let now = clock.now();
+        let state = DoorState {
+            queue: DoorQueue::new(now),
+            waiters: HashMap::new(),
+            runs: RunBook::default(),
+            target: None,
+        };
+        let changed = watch::Sender::new(0);
+        BackendDoor { clock, service, pool, state: Mutex::new(state), changed }
+    }
+
+    /// Opens the door to a backend server.
+    pub(crate) fn open(&self, target: BackendTarget, slots: usize) {
+        let mut state = self.lock();
+        let is_new = state.target.as_ref().is_none_or(|old| old.id != target.id);
+        if is_new {
+            self.pool.clear();
+            state.queue.forget_measures(self.clock.now());
+        }
+        state.target = Some(target);
+        state.queue.set_slots(slots);
+        self.start_waiting(&mut state);
+        drop(state);
+        self.announce_change();
+    }
+
+    /// Lets nothing in any more; what runs ends undisturbed.
+    pub(crate) fn shut(&self) {
+        let mut state = self.lock();
+        state.target = None;
+        state.queue.set_slots(0);
+        self.start_waiting(&mut state);
+        drop(state);
+        self.announce_change();
+    }
+
+    /// The load now.
+    pub(crate) fn load(&self) -> DoorLoad {
+        let now = self.clock.now();
+        self.lock().queue.load(now)
+    }
+
+    /// Requests that run now.
+    pub(crate) fn running(&self) -> usize {
+        self.lock().runs.len()
+    }
+
+    /// Notified when the door opens or shuts.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The run that made a call with this deadline.
+    pub(crate) fn parent(&self, deadline: MilliTime) -> Option<Arc<RunNotes>> {
+        self.lock().runs.parent(deadline).cloned()
+    }
+
+    /// Refuses waiting requests that cannot finish in time any more.
+    pub(crate) fn refuse_hopeless(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for ticket in state.queue.take_hopeless(now) {
+            let refusal = WaitOutcome::Refuse(DoorRefusal::TooLate(Duration::ZERO));
+            tell(&mut state, ticket, refusal);
+        }
+    }
+
+    /// Runs a request; the costs are those of the run and of the calls that it made.
+    pub(crate) async fn run(&self, call: &DoorCall) -> (CallOutcome, CostList) {
+        if let Err(refusal) = self.enter(call).await {
+            return (refused(refusal), CostList::new());
+        }
+        let mut run = self.start(call);
+        let Some(target) = self.lock().target.clone() else {
+            return (refused(DoorRefusal::NoBackend), CostList::new());
+        };
+        let remaining = call.deadline.until(self.clock.now());
+        let exchange =
+            self.pool.exchange(&target, &call.context, &call.request, remaining, call.runs_once);
+        let outcome = timeout(remaining + ANSWER_MARGIN, exchange).await;
+        let outcome = outcome.unwrap_or(CallOutcome::Unknown(UnknownCause::Expired));
+        run.failed = Some(run.is_failed(&outcome));
+        let costs = run.costs(&self.service, self.clock.now());
+        (outcome, costs)
+    }
+
+    async fn enter(&self, call: &DoorCall) -> Result<(), DoorRefusal> {
+        let guard = {
+            let mut state = self.lock();
+            let request =
+                DoorRequest { rank: call.context.rank, deadline: call.deadline, due: call.due };
+            match state.queue.offer(self.clock.now(), request) {
+                DoorVerdict::Run => return Ok(()),
+                DoorVerdict::Refuse(refusal) => return Err(refusal),
+                DoorVerdict::Wait(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiters.insert(ticket, sender);
+                    WaitGuard { door: self, ticket, receiver, is_told: false }
+                }
+            }
+        };
+        match guard.wait().await {
+            WaitOutcome::Run => Ok(()),
+            WaitOutcome::Refuse(refusal) => Err(refusal),
+        }
+    }
+
+    fn start(&self, call: &DoorCall) -> RunGuard<'_> {
+        let notes = Arc::new(RunNotes {
+            context: call.context.clone(),
+            due: call.due,
+            costs: Mutex::default(),
+            call_failed: AtomicBool::new(false),
+        });
+        let entry = self.lock().runs.start(call.deadline, notes.clone());
+        RunGuard { door: self, entry, notes, started: self.clock.now(), failed: None }
+    }
+
+    fn start_waiting(&self, state: &mut DoorState) {
+        let now = self.clock.now();
+        while let Some((ticket, outcome)) = state.queue.next(now) {
+            let told = tell(state, ticket, outcome);
+            if !told && outcome == WaitOutcome::Run {
+                state.queue.release();
+            }
+        }
+    }
+
+    fn abandon(&self, ticket: WaitTicket) {
+        let mut state = self.lock();
+        state.queue.abandon(ticket);
+        state.waiters.remove(&ticket);
+    }
+
+    fn release(&self) {
+        let mut state = self.lock();
+        state.queue.release();
+        self.start_waiting(&mut state);
+    }
+
+    fn announce_change(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DoorState> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl RunGuard<'_> {
+    /// Whether the backend server itself failed the request.
+    fn is_failed(&self, outcome: &CallOutcome) -> bool {
+        match outcome {
+            CallOutcome::Answered(answer) => {
+                answer.is_server_error() && !self.notes.call_failed.load(Ordering::Relaxed)
+            }
+            CallOutcome::NotRun { .. } => true,
+            CallOutcome::Unknown(_) => true,
+        }
+    }
+
+    fn costs(&self, service: &Arc<str>, now: MilliTime) -> CostList {
+        let mut costs = self.notes.costs.lock().expect("no holder panics").clone();
+        let millis = now.since(self.started).as_secs_f32() * 1_000.0;
+        add_cost(&mut costs, SlotCost { service: service.clone(), millis });
+        costs
+    }
+}
+
+fn refused(refusal: DoorRefusal) -> CallOutcome {
+    match refusal {
+        DoorRefusal::NoBackend => {
+            CallOutcome::NotRun { cause: NotRunCause::NoBackend, room_millis: 0 }
+        }
+        DoorRefusal::TooLate(room_in) => {
+            let room_millis = room_in.as_millis() as u32;
+            CallOutcome::NotRun { cause: NotRunCause::TooLate, room_millis }
+        }
+    }
+}
+
+/// Tells a waiting request its outcome; `false` if nobody waits any more.
+fn tell(state: &mut DoorState, ticket: WaitTicket, outcome: WaitOutcome) -> bool {
+    let waiter = state.waiters.remove(&ticket);
+    waiter.is_some_and(|waiter| waiter.send(outcome).is_ok())
+}
--- /dev/null
+++ b/src/sidecar/process/decision_log.rs
@@ -0,0 +1,181 @@
+//! JSON lines about decisions, on standard output.
+//!
+//! Each kind of line has a bound per second, and what is left out is counted in the next line of
+//! its kind. Lines go through a bounded buffer to a thread of their own, so that a slow reader of
+//! standard output delays nothing.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::clock::{MilliClock, MilliTime, wall_time};
+
+/// Bytes that wait to be written at most; beyond it lines are dropped and counted.
+const BUFFER_BYTES_MAX: usize = 256 * 1024;
+/// Time between writes, so that one write takes many lines.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// Lines a second of a kind that happens for every request.
+const ROUTINE_LINES: u32 = 5;
+/// Lines a second of a kind that explains a failure.
+const FAILURE_LINES: u32 = 40;
+/// Lines a second of a kind that tells a change of state.
+const CHANGE_LINES: u32 = 20;
+const LIMIT_SPAN: Duration = Duration::from_secs(1);
+
+/// How often a kind of line may be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineWeight {
+    /// It happens for every request.
+    Routine,
+    /// It explains a failure.
+    Failure,
+    /// It tells a change of what the process believes.
+    Change,
+}
+
+impl LineWeight {
+    fn lines_per_second(self) -> u32 {
+        match self {
+            LineWeight::Routine => ROUTINE_LINES,
+            LineWeight::Failure => FAILURE_LINES,
+            LineWeight::Change => CHANGE_LINES,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct KindUse {
+    started: MilliTime,
+    written: u32,
+    left_out: u64,
+}
+
+#[derive(Debug, Default)]
+struct LineBuffer {
+    bytes: Vec<u8>,
+    dropped: u64,
+    closed: bool,
+}
+
+#[derive(Debug, Default)]
+struct BufferCell {
+    buffer: Mutex<LineBuffer>,
+    filled: Condvar,
+}
+
+/// Writes lines about decisions.
+#[derive(Debug)]
+pub struct DecisionLog {
+    clock: MilliClock,
+    kinds: Mutex<HashMap<&'static str, KindUse>>,
+    cell: Arc<BufferCell>,
+    writer: Mutex<Option<std::thread::JoinHandle<()>>>,
+}
+
+#[derive(Serialize)]
+struct DecisionLine<'a, F: Serialize> {
+    at_ms: u64,
+    event: &'static str,
+    #[serde(skip_serializing_if = "is_zero")]
+    left_out: u64,
+    #[serde(flatten)]
+    fields: &'a F,
+}
+
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+impl DecisionLog {
+    /// A log that writes to `output` from a thread of its own.
+    pub fn new(clock: MilliClock, output: Box<dyn Write + Send>) -> Self {
+        let cell = Arc::new(BufferCell::default());
+        let shared = cell.clone();
+        let writer = std::thread::spawn(move || write_lines(&shared, output));
+        DecisionLog { clock, kinds: Mutex::default(), cell, writer: Mutex::new(Some(writer)) }
+    }
+
+    /// Writes a line unless its kind has had its lines for this second.
+    pub fn write<F: Serialize>(&self, weight: LineWeight, event: &'static str, fields: &F) {
+        let Some(left_out) = self.permit(weight, event) else {
+            return;
+        };
+        let line = DecisionLine { at_ms: wall_time().0, event, left_out, fields };
+        let Ok(text) = serde_json::to_string(&line) else {
+            // Fields are structs with string keys, so this is a fault of the program.
+            debug_assert!(false, "a decision line could not be serialised");
+            return;
+        };
+        self.append(&text);
+    }
+
+    /// Writes what is buffered and ends the thread.
+    pub fn close(&self) {
+        self.cell.buffer.lock().expect("no holder panics").closed = true;
+        self.cell.filled.notify_one();
+        let writer = self.writer.lock().expect("no holder panics").take();
+        if let Some(writer) = writer {
+            // A writer that panicked has nothing left to write.
+            let _ = writer.join();
+        }
+    }
+
+    fn permit(&self, weight: LineWeight, event: &'static str) -> Option<u64> {
+        let now = self.clock.now();
+        let mut kinds = self.kinds.lock().expect("no holder panics");
+        let used = kinds.entry(event).or_default();
+        if now.since(used.started) >= LIMIT_SPAN {
+            used.started = now;
+            used.written = 0;
+        }
+        if used.written >= weight.lines_per_second() {
+            used.left_out += 1;
+            return None;
+        }
+        used.written += 1;
+        Some(std::mem::take(&mut used.left_out))
+    }
+
+    fn append(&self, text: &str) {
+        let mut buffer = self.cell.buffer.lock().expect("no holder panics");
+        if buffer.bytes.len() + text.len() >= BUFFER_BYTES_MAX {
+            buffer.dropped += 1;
+            return;
+        }
+        let was_empty = buffer.bytes.is_empty();
+        buffer.bytes.extend_from_slice(text.as_bytes());
+        buffer.bytes.push(b'\n');
+        if was_empty {
+            self.cell.filled.notify_one();
+        }
+    }
+}
+
+fn write_lines(cell: &BufferCell, mut output: Box<dyn Write + Send>) {
+    loop {
+        let (bytes, dropped, closed) = take_lines(cell);
+        // Nobody is left to tell when standard output is gone.
+        let _ = output.write_all(&bytes);
+        if dropped > 0 {
+            let _ = writeln!(output, "{{\"event\":\"log-lines-dropped\",\"count\":{dropped}}}");
+        }
+        let _ = output.flush();
+        if closed {
+            return;
+        }
+        std::thread::sleep(WRITE_INTERVAL);
+    }
+}
+
+fn take_lines(cell: &BufferCell) -> (Vec<u8>, u64, bool) {
+    let mut buffer = cell.buffer.lock().expect("no holder panics");
+    while buffer.bytes.is_empty() && !buffer.closed {
+        buffer = cell.filled.wait(buffer).expect("no holder panics");
+    }
+    let bytes = std::mem::take(&mut buffer.bytes);
+    let dropped = std::mem::take(&mut buffer.dropped);
+    (bytes, dropped, buffer.closed)
+}
--- /dev/null
+++ b/src/sidecar/process/directory.rs
@@ -0,0 +1,144 @@
+//! The list of daemons in the platform's store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::decision_log::LineWeight;
+use super::keyed_store::{StoreError, StoreRead, StoreTopic};
+use super::sidecar_shared::SidecarShared;
+use crate::policy::incarnation::BackendIncarnation;
+use crate::sidecar::connection::peer_link::keep_link;
+
+/// How long one read waits for changes: daemons rarely come and go, and each read has a price.
+const CHANGES_WAIT: Duration = Duration::from_secs(4);
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// A daemon's record; its key is its name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct DirectoryEntry {
+    pub(crate) name: Arc<str>,
+    /// Where other daemons connect.
+    pub(crate) address: SocketAddr,
+    pub(crate) service: Arc<str>,
+    pub(crate) availability_zone: Arc<str>,
+    /// The last backend server there that left, so that a restarted daemon knows it.
+    #[serde(default)]
+    pub(crate) left: Option<BackendIncarnation>,
+}
+
+#[derive(Serialize)]
+struct DirectoryChange<'a> {
+    daemons: usize,
+    cursor: u64,
+    names: &'a [&'a str],
+}
+
+#[derive(Serialize)]
+struct UnreadableRecord<'a> {
+    topic: &'static str,
+    key: &'a str,
+    problem: String,
+}
+
+/// Entries by their keys.
+#[derive(Debug, Default)]
+struct DirectoryView {
+    entries: Vec<DirectoryEntry>,
+}
+
+impl DirectoryView {
+    fn apply(&mut self, shared: &SidecarShared, read: &StoreRead) {
+        for record in &read.records {
+            self.entries.retain(|entry| *entry.name != *record.key);
+            let Some(value) = &record.value else {
+                continue;
+            };
+            match serde_json::from_slice::<DirectoryEntry>(value) {
+                Ok(entry) if *entry.name == *record.key => self.entries.push(entry),
+                Ok(_) => report_unreadable(shared, &record.key, "the name is not the key"),
+                Err(error) => report_unreadable(shared, &record.key, &error.to_string()),
+            }
+        }
+    }
+
+    fn own<'a>(&'a self, shared: &SidecarShared) -> Option<&'a DirectoryEntry> {
+        self.entries.iter().find(|entry| entry.name == shared.settings.name)
+    }
+
+    fn publish(&self, shared: &Arc<SidecarShared>, cursor: u64) {
+        let own_name = &shared.settings.name;
+        let others: Vec<DirectoryEntry> =
+            self.entries.iter().filter(|entry| entry.name != *own_name).cloned().collect();
+        let zone = &shared.settings.availability_zone;
+        shared.peers.update(&shared.clock, zone, &others, |peer| {
+            tokio::spawn(keep_link(shared.clone(), peer))
+        });
+        shared.quota.set_members(self.entries.len());
+        let names: Vec<&str> = self.entries.iter().take(8).map(|entry| &*entry.name).collect();
+        let change = DirectoryChange { daemons: self.entries.len(), cursor, names: &names };
+        shared.log.write(LineWeight::Change, "directory", &change);
+    }
+}
+
+fn report_unreadable(shared: &SidecarShared, key: &str, problem: &str) {
+    let line = UnreadableRecord { topic: "directory", key, problem: problem.to_owned() };
+    shared.log.write(LineWeight::Failure, "record-unreadable", &line);
+}
+
+/// Keeps the own record in the store and the table of peers up to date.
+pub(crate) async fn follow_directory(shared: Arc<SidecarShared>) {
+    loop {
+        if let Err(error) = follow_once(&shared).await {
+            shared.store_failed("directory", &error);
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn follow_once(shared: &Arc<SidecarShared>) -> Result<(), StoreError> {
+    let mut view = DirectoryView::default();
+    let asked = shared.clock.now();
+    let mut read = shared.store.snapshot(StoreTopic::Directory).await?;
+    view.apply(shared, &read);
+    if let Some(left) = view.own(shared).and_then(|entry| entry.left.clone()) {
+        shared.backend.restore_left(left);
+    }
+    let is_known = view.own(shared).is_some();
+    shared.quota.directory_read(asked, is_known);
+    shared.backend.directory_known();
+    view.publish(shared, read.cursor);
+    let own = shared.own_entry();
+    if view.own(shared) != Some(&own) {
+        write_own(shared, &own).await?;
+    }
+    loop {
+        let asked = shared.clock.now();
+        read = shared.store.changes(StoreTopic::Directory, read.cursor, CHANGES_WAIT).await?;
+        // An answer without records was given after the whole wait.
+        let proven = if read.records.is_empty() { asked + CHANGES_WAIT } else { asked };
+        shared.quota.directory_read(proven, true);
+        if !read.records.is_empty() {
+            view.apply(shared, &read);
+            view.publish(shared, read.cursor);
+        }
+    }
+}
+
+/// Writes the own record.
+pub(crate) async fn write_own(
+    shared: &SidecarShared,
+    own: &DirectoryEntry,
+) -> Result<(), StoreError> {
+    let value = serde_json::to_vec(own)
+        .map_err(|error| StoreError::Unreadable { reason: error.to_string() })?;
+    shared.store.put(StoreTopic::Directory, &own.name, Some(&value)).await
+}
+
+/// Removes the own record, for an instance that is not to come back.
+pub(crate) async fn remove_own(shared: &SidecarShared) -> Result<(), StoreError> {
+    shared.store.put(StoreTopic::Directory, &shared.settings.name, None).await
+}
--- /dev/null
+++ b/src/sidecar/process/fleet_metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and histograms of a sidecar daemon.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+const FIRST_BUCKET_SECONDS: f64 = 0.004;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKET_COUNT: u16 = 12;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OutcomeLabels {
+    service: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OrganisationLabels {
+    organisation: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ClassLabels {
+    priority: u32,
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EventLabels {
+    event: &'static str,
+}
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub struct FleetMetrics {
+    registry: Registry,
+    requests: Family<OutcomeLabels, Counter>,
+    organisations: Family<OrganisationLabels, Counter>,
+    latency: Family<ClassLabels, Histogram>,
+    events: Family<EventLabels, Counter>,
+    /// Requests running at the backend server.
+    pub running: Gauge,
+    /// Requests waiting for it.
+    pub waiting: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKET_COUNT))
+}
+
+impl Default for FleetMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("lentilway");
+        let requests = Family::<OutcomeLabels, Counter>::default();
+        let organisations = Family::<OrganisationLabels, Counter>::default();
+        let latency = Family::<ClassLabels, Histogram>::new_with_constructor(latency_histogram);
+        let events = Family::<EventLabels, Counter>::default();
+        let (running, waiting) = (Gauge::default(), Gauge::default());
+        registry.register("requests", "Requests ended, by service", requests.clone());
+        registry.register("organisations", "Requests ended", organisations.clone());
+        registry.register("latency_seconds", "Time to the final answer", latency.clone());
+        registry.register("events", "Internal events", events.clone());
+        registry.register("backend_running", "Requests running", running.clone());
+        registry.register("backend_waiting", "Requests waiting", waiting.clone());
+        FleetMetrics { registry, requests, organisations, latency, events, running, waiting }
+    }
+}
+
+/// A request that ended, for the metrics.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedRequest<'a> {
+    /// Its service, empty if it is not known.
+    pub service: &'a str,
+    /// The organisation, empty without one.
+    pub organisation: &'a str,
+    /// Its priority.
+    pub priority: u8,
+    /// Whether it is a root request.
+    pub is_root: bool,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// How long it took.
+    pub elapsed: Duration,
+}
+
+impl FleetMetrics {
+    /// Counts a request that ended.
+    pub fn request_ended(&self, ended: &EndedRequest<'_>) {
+        let outcome = ended.outcome;
+        let labels = OutcomeLabels { service: ended.service.to_owned(), outcome };
+        self.requests.get_or_create(&labels).inc();
+        if ended.is_root {
+            let organisation = ended.organisation.to_owned();
+            self.organisations.get_or_create(&OrganisationLabels { organisation, outcome }).inc();
+        }
+        let kind = if ended.is_root { "root" } else { "call" };
+        let labels = ClassLabels { priority: u32::from(ended.priority), kind };
+        self.latency.get_or_create(&labels).observe(ended.elapsed.as_secs_f64());
+    }
+
+    /// Counts an internal event.
+    ///
+    /// ```
+    /// use lentilway::sidecar::process::fleet_metrics::FleetMetrics;
+    /// let metrics = FleetMetrics::default();
+    /// metrics.count("retry");
+    /// assert!(metrics.text().contains("event=\"retry\"} 1"));
+    /// ```
+    pub fn count(&self, event: &'static str) {
+        self.events.get_or_create(&EventLabels { event }).inc();
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string cannot fail");
+        text
+    }
+}
--- /dev/null
+++ b/src/sidecar/process/quota_book.rs
@@ -0,0 +1,302 @@
+//! Admits requests within the rates of their organisations.
+
+use std::collections::HashMap;
+use std::hash::Hasher;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::peer_table::{PeerEntry, instance_key};
+use super::sidecar_shared::SidecarShared;
+use crate::clock::{MilliClock, MilliTime};
+use crate::policy::token_share::{RateTerms, TokenShare};
+use crate::sidecar::connection::frame::{PeerMessage, TokenAmount};
+use crate::sidecar::version::fleet_config::{FleetConfig, FleetOrganisation};
+
+/// Time between moves of tokens to and from the pools.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a request waits for tokens of the pool before it is refused.
+const LOAN_WAIT: Duration = Duration::from_millis(40);
+/// After an ask that brought nothing, requests are refused at once for this long.
+const DRY_SPAN: Duration = Duration::from_millis(60);
+/// A view of the directory is at most this old where tokens are minted, and a joining daemon waits
+/// this long, so that no two daemons mint the same part of a rate.
+const VIEW_AGE_MAX: Duration = Duration::from_secs(6);
+
+#[derive(Debug)]
+struct OrganisationShare {
+    share: TokenShare,
+    pool: u64,
+    asked: Option<MilliTime>,
+    dry_until: MilliTime,
+}
+
+#[derive(Debug, Default)]
+struct QuotaState {
+    shares: HashMap<Arc<str>, OrganisationShare>,
+    /// Numbers of daemons within the last views, with the time at which each was replaced.
+    members: usize,
+    former: Vec<(MilliTime, usize)>,
+    mints_from: Option<MilliTime>,
+    directory_read: Option<MilliTime>,
+}
+
+/// Tokens of all organisations at this daemon.
+#[derive(Debug)]
+pub(crate) struct QuotaBook {
+    clock: MilliClock,
+    own_key: u64,
+    state: Mutex<QuotaState>,
+    received: Notify,
+}
+
+fn rendezvous(organisation: &str, member: u64) -> u64 {
+    let mut hasher = Xxh3::with_seed(member);
+    hasher.write(organisation.as_bytes());
+    hasher.finish()
+}
+
+impl QuotaState {
+    /// The number of daemons by which rates are divided: the largest of the views that another
+    /// daemon may still hold.
+    fn divisor(&self, now: MilliTime) -> usize {
+        let former = self.former.iter().filter(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
+        former.map(|(_, count)| *count).max().unwrap_or(0).max(self.members)
+    }
+
+    fn mints(&self, now: MilliTime) -> bool {
+        let has_joined = self.mints_from.is_some_and(|from| now >= from);
+        let is_fresh = self.directory_read.is_some_and(|read| now.since(read) < VIEW_AGE_MAX);
+        has_joined && is_fresh
+    }
+}
+
+impl QuotaBook {
+    pub(crate) fn new(clock: MilliClock, own_name: &str) -> Self {
+        let own_key = instance_key(own_name);
+        QuotaBook { clock, own_key, state: Mutex::default(), received: Notify::new() }
+    }
+
+    /// Sets the number of daemons in the directory.
+    pub(crate) fn set_members(&self, members: usize) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if members < state.members {
+            let former = state.members;
+            state.former.push((now, former));
+            state.former.retain(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
+        }
+        state.members = members;
+    }
+
+    /// Notes that the directory asked for at `asked` was read, and whether it held this daemon: one
+    /// that joins mints nothing until every older view is gone.
+    pub(crate) fn directory_read(&self, asked: MilliTime, is_listed: bool) {
+        let mut state = self.lock();
+        state.directory_read = Some(asked);
+        if state.mints_from.is_none() {
+            let wait = if is_listed { Duration::ZERO } else { VIEW_AGE_MAX };
+            state.mints_from = Some(self.clock.now() + wait);
+        }
+    }
+
+    /// Takes in the rates of a new configuration.
+    pub(crate) fn install(&self, config: &FleetConfig) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.shares.retain(|name, _| {
+            config.organisation(name).is_some_and(|organisation| organisation.rate.is_some())
+        });
+        for organisation in config.organisations() {
+            if let Some(terms) = organisation.rate {
+                let known = state.shares.entry(organisation.name.clone());
+                known.or_insert_with(|| OrganisationShare {
+                    share: TokenShare::new(now, terms),
+                    pool: self.own_key,
+                    asked: None,
+                    dry_until: MilliTime(0),
+                });
+            }
+        }
+    }
+
+    /// Takes a token for a request; waits briefly for one of the pool. `false` if the organisation
+    /// is over its rate as far as is known here.
+    pub(crate) async fn admit(
+        &self,
+        shared: &SidecarShared,
+        organisation: &FleetOrganisation,
+    ) -> bool {
+        let Some(terms) = organisation.rate else {
+            return true;
+        };
+        let Some(pool) = self.take_or_ask(organisation, terms) else {
+            return true;
+        };
+        let Some(pool) = pool else {
+            return false;
+        };
+        self.ask(shared, pool, organisation);
+        let deadline = Instant::now() + LOAN_WAIT;
+        loop {
+            let received = self.received.notified();
+            if self.retake(organisation) {
+                return true;
+            }
+            if timeout_at(deadline, received).await.is_err() {
+                self.note_dry(organisation);
+                return false;
+            }
+        }
+    }
+
+    /// Hands back the token of a request that was refused for another reason.
+    pub(crate) fn hand_back(&self, organisation: &FleetOrganisation) {
+        if let Some(known) = self.lock().shares.get_mut(&organisation.name) {
+            known.share.hand_back();
+        }
+    }
+
+    /// Takes tokens in that another daemon gave away.
+    pub(crate) fn receive(&self, amounts: &[TokenAmount]) {
+        let mut state = self.lock();
+        for amount in amounts {
+            if let Some(known) = state.shares.get_mut(&amount.organisation) {
+                known.share.receive(amount.tokens);
+            }
+        }
+        drop(state);
+        self.received.notify_waiters();
+    }
+
+    /// Lends tokens to another daemon.
+    pub(crate) fn lend(&self, wants: &[TokenAmount]) -> Vec<TokenAmount> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut lent = Vec::new();
+        for want in wants {
+            let known = state.shares.get_mut(&want.organisation);
+            let tokens = known.map_or(0.0, |known| known.share.lend(now, want.tokens));
+            if tokens > 0.0 {
+                lent.push(TokenAmount { organisation: want.organisation.clone(), tokens });
+            }
+        }
+        lent
+    }
+
+    /// `None` if a token was taken; otherwise the pool to ask, if that makes sense now.
+    fn take_or_ask(
+        &self,
+        organisation: &FleetOrganisation,
+        terms: RateTerms,
+    ) -> Option<Option<u64>> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(known) = state.shares.get_mut(&organisation.name) else {
+            return Some(None);
+        };
+        debug_assert!(terms.per_second > 0.0);
+        if known.share.take(now) {
+            return None;
+        }
+        let can_ask = known.pool != self.own_key && now >= known.dry_until;
+        Some(can_ask.then_some(known.pool))
+    }
+
+    fn retake(&self, organisation: &FleetOrganisation) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let known = state.shares.get_mut(&organisation.name);
+        known.is_some_and(|known| known.share.retake(now))
+    }
+
+    fn note_dry(&self, organisation: &FleetOrganisation) {
+        let now = self.clock.now();
+        if let Some(known) = self.lock().shares.get_mut(&organisation.name) {
+            known.dry_until = now + DRY_SPAN;
+        }
+    }
+
+    fn ask(&self, shared: &SidecarShared, pool: u64, organisation: &FleetOrganisation) {
+        let now = self.clock.now();
+        let wanted = {
+            let mut state = self.lock();
+            let Some(known) = state.shares.get_mut(&organisation.name) else {
+                return;
+            };
+            if known.asked.is_some_and(|asked| now.since(asked) < LOAN_WAIT) {
+                return;
+            }
+            known.asked = Some(now);
+            known.share.wanted(now)
+        };
+        let link = shared.peers.connected().into_iter().find(|peer| peer.key == pool);
+        if let (Some(tokens), Some(link)) = (wanted, link.and_then(|peer| peer.link())) {
+            let organisation = organisation.name.clone();
+            link.send(PeerMessage::WantTokens(vec![TokenAmount { organisation, tokens }]));
+        }
+    }
+
+    /// Gives surplus to the pools and returns what goes where.
+    fn exchange(
+        &self,
+        config: &FleetConfig,
+        peers: &[Arc<PeerEntry>],
+    ) -> HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> {
+        let now = self.clock.now();
+        let mut moves: HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> = HashMap::new();
+        let mut state = self.lock();
+        let (divisor, mints) = (state.divisor(now), state.mints(now));
+        let members: Vec<u64> = peers.iter().map(|peer| peer.key).chain([self.own_key]).collect();
+        for (name, known) in &mut state.shares {
+            let Some(terms) = config.organisation(name).and_then(|found| found.rate) else {
+                continue;
+            };
+            let pool = members.iter().max_by_key(|member| rendezvous(name, **member));
+            known.pool = pool.copied().unwrap_or(self.own_key);
+            let is_pool = known.pool == self.own_key;
+            known.share.set_terms(now, terms, divisor, mints, is_pool);
+            if let Some(tokens) = known.share.take_surplus(now) {
+                let amount = TokenAmount { organisation: name.clone(), tokens };
+                moves.entry(known.pool).or_default().0.push(amount);
+            } else if let Some(tokens) = known.share.wanted_by_demand(now) {
+                let amount = TokenAmount { organisation: name.clone(), tokens };
+                moves.entry(known.pool).or_default().1.push(amount);
+            }
+        }
+        moves
+    }
+
+    fn lock(&self) -> MutexGuard<'_, QuotaState> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+/// Moves tokens to and from the pools until the task is aborted.
+pub(crate) async fn exchange_tokens(shared: Arc<SidecarShared>) {
+    let mut ticks = interval(EXCHANGE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(config) = shared.config() else {
+            continue;
+        };
+        let peers = shared.peers.connected();
+        for (pool, (gifts, wants)) in shared.quota.exchange(&config, &peers) {
+            let link = peers.iter().find(|peer| peer.key == pool).and_then(|peer| peer.link());
+            let Some(link) = link else {
+                // The pool was lost in this moment: the tokens are lost with it.
+                continue;
+            };
+            if !gifts.is_empty() {
+                link.send(PeerMessage::Tokens(gifts));
+            }
+            if !wants.is_empty() {
+                link.send(PeerMessage::WantTokens(wants));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -0,0 +1,200 @@
+//! Start and stop of a sidecar daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::backend_watch::{serve_announcement, watch_backend};
+use super::decision_log::{DecisionLog, LineWeight};
+use super::directory::{follow_directory, remove_own};
+use super::keyed_store::KeyedStore;
+use super::quota_book::exchange_tokens;
+use super::settings::SidecarSettings;
+use super::sidecar_shared::SidecarShared;
+use super::wire_dialect::WireDialect;
+use crate::clock::MilliClock;
+use crate::connection::listener::{ConnectionTimes, bind, serve_http};
+use crate::error::DaemonError;
+use crate::process::stop::StopSignal;
+use crate::sidecar::connection::peer_server::serve_peers;
+use crate::sidecar::request::entry::serve_request;
+use crate::sidecar::version::config_watch::follow_config;
+
+/// Idle connections of callers are kept for this long: longer than callers keep them, so that none
+/// is closed while a request is on its way.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Part of the time to stop for which new requests are still taken: readiness is asked for once a
+/// second, and callers move away after two misses.
+const LINGER_PART: f64 = 0.55;
+/// Time kept back from the bound of a stop.
+const STOP_MARGIN: Duration = Duration::from_millis(350);
+const CLEANUP_MAX: Duration = Duration::from_millis(300);
+
+/// A running sidecar daemon.
+pub struct SidecarDaemon {
+    shared: Arc<SidecarShared>,
+    callers: JoinHandle<()>,
+    others: Vec<JoinHandle<()>>,
+    end: StopSignal,
+}
+
+#[derive(Serialize)]
+struct ProcessLine<'a> {
+    name: &'a str,
+    version: &'static str,
+    service: &'a str,
+    availability_zone: &'a str,
+    running: usize,
+    config_version: u64,
+}
+
+impl SidecarDaemon {
+    /// Opens the listeners and starts every task.
+    ///
+    /// # Errors
+    /// [`DaemonError`] if a listener cannot be opened.
+    pub async fn start(
+        settings: SidecarSettings,
+        dialect: Arc<dyn WireDialect>,
+        store: Arc<dyn KeyedStore>,
+        log: DecisionLog,
+    ) -> Result<SidecarDaemon, DaemonError> {
+        let requests = bind(settings.request_listen).await?;
+        let peers = bind(settings.peer_listen).await?;
+        let announcements = bind(settings.announce_listen).await?;
+        let ready = bind(settings.ready_listen).await?;
+        let metrics = bind(settings.metrics_listen).await?;
+        let clock = MilliClock::boottime();
+        let shared = Arc::new(SidecarShared::new(settings, dialect, store, clock, log));
+        let end = StopSignal::default();
+        let callers = start_callers(&shared, requests);
+        let others = vec![
+            tokio::spawn(serve_peers(shared.clone(), peers)),
+            start_announcements(&shared, announcements, &end),
+            start_ready(&shared, ready, &end),
+            start_metrics(&shared, metrics, &end),
+            tokio::spawn(follow_config(shared.clone())),
+            tokio::spawn(follow_directory(shared.clone())),
+            tokio::spawn(watch_backend(shared.clone())),
+            tokio::spawn(exchange_tokens(shared.clone())),
+        ];
+        log_process(&shared, "started");
+        Ok(SidecarDaemon { shared, callers, others, end })
+    }
+
+    /// Logs that the settings were read again.
+    pub fn reloaded(&self) {
+        log_process(&self.shared, "reloaded");
+    }
+
+    /// Stops without cutting a request, within the bound of the settings.
+    pub async fn stop(mut self) {
+        let bound = self.shared.settings.stop_bound.saturating_sub(STOP_MARGIN);
+        let deadline = Instant::now() + bound;
+        log_process(&self.shared, "stopping");
+        self.shared.stop.raise();
+        if timeout_at(deadline, &mut self.callers).await.is_err() {
+            self.callers.abort();
+        }
+        while self.shared.door.running() > 0 && Instant::now() < deadline {
+            sleep(Duration::from_millis(20)).await;
+        }
+        self.leave_directory().await;
+        self.end.raise();
+        self.others.iter().for_each(JoinHandle::abort);
+        log_process(&self.shared, "stopped");
+        self.shared.log.close();
+    }
+
+    /// An instance whose backend server left is not coming back.
+    async fn leave_directory(&self) {
+        if !self.shared.backend.has_left() {
+            return;
+        }
+        let removed = tokio::time::timeout(CLEANUP_MAX, remove_own(&self.shared)).await;
+        if let Ok(Err(error)) = removed {
+            self.shared.store_failed("directory-removal", &error);
+        }
+    }
+}
+
+fn log_process(shared: &SidecarShared, event: &'static str) {
+    let line = ProcessLine {
+        name: &shared.settings.name,
+        version: env!("CARGO_PKG_VERSION"),
+        service: &shared.settings.service,
+        availability_zone: &shared.settings.availability_zone,
+        running: shared.door.running(),
+        config_version: shared.config_version(),
+    };
+    shared.log.write(LineWeight::Change, event, &line);
+}
+
+fn start_callers(shared: &Arc<SidecarShared>, listener: TcpListener) -> JoinHandle<()> {
+    let linger = shared.settings.stop_bound.mul_f64(LINGER_PART);
+    let times = ConnectionTimes { head_timeout: IDLE_TIMEOUT, linger };
+    let state = shared.clone();
+    let handler = move |request| serve_request(state.clone(), request);
+    tokio::spawn(serve_http(listener, shared.stop.clone(), times, handler))
+}
+
+fn control_times() -> ConnectionTimes {
+    ConnectionTimes { head_timeout: IDLE_TIMEOUT, linger: Duration::ZERO }
+}
+
+fn start_announcements(
+    shared: &Arc<SidecarShared>,
+    listener: TcpListener,
+    end: &StopSignal,
+) -> JoinHandle<()> {
+    let state = shared.clone();
+    let handler = move |request| serve_announcement(state.clone(), request);
+    tokio::spawn(serve_http(listener, end.clone(), control_times(), handler))
+}
+
+fn start_ready(
+    shared: &Arc<SidecarShared>,
+    listener: TcpListener,
+    end: &StopSignal,
+) -> JoinHandle<()> {
+    let state = shared.clone();
+    let handler = move |request: Request<Incoming>| {
+        let is_asked = request.uri().path() == state.dialect.ready_path();
+        let status = match (is_asked, state.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        std::future::ready(plain(status, String::new()))
+    };
+    tokio::spawn(serve_http(listener, end.clone(), control_times(), handler))
+}
+
+fn start_metrics(
+    shared: &Arc<SidecarShared>,
+    listener: TcpListener,
+    end: &StopSignal,
+) -> JoinHandle<()> {
+    let state = shared.clone();
+    let handler = move |_request: Request<Incoming>| {
+        let load = state.door.load();
+        state.metrics.running.set(i64::from(load.running));
+        state.metrics.waiting.set(i64::from(load.waiting));
+        std::future::ready(plain(StatusCode::OK, state.metrics.text()))
+    };
+    tokio::spawn(serve_http(listener, end.clone(), control_times(), handler))
+}
+
+fn plain(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -0,0 +1,239 @@
+//! What the tasks of a sidecar daemon share.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use serde::Serialize;
+
+use super::backend_door::{BackendDoor, DoorCall};
+use super::backend_watch::BackendWatch;
+use super::decision_log::{DecisionLog, LineWeight};
+use super::directory::DirectoryEntry;
+use super::fleet_metrics::FleetMetrics;
+use super::keyed_store::{KeyedStore, StoreError};
+use super::peer_table::{PeerEntry, PeerTable, instance_key};
+use super::quota_book::QuotaBook;
+use super::settings::SidecarSettings;
+use super::wire_dialect::WireDialect;
+use crate::clock::{MilliClock, MilliTime};
+use crate::policy::evidence::ConfigEvidence;
+use crate::policy::placement::DoorLoad;
+use crate::policy::retry_allowance::RetryAllowance;
+use crate::policy::root_admission::{CostList, RootAdmission};
+use crate::policy::weighted_split::WeightedSplit;
+use crate::process::stop::StopSignal;
+use crate::sidecar::connection::backend_pool::BackendPool;
+use crate::sidecar::request::context::CallOutcome;
+use crate::sidecar::version::fleet_config::FleetConfig;
+
+/// Margin of the bound for withdrawn keys, for clocks that tick in milliseconds and timers that
+/// fire late.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(200);
+/// Part of the bound for withdrawn keys after which callers are better served elsewhere.
+const READY_EVIDENCE_PART: f64 = 0.6;
+
+/// Everything that the tasks of a sidecar daemon share.
+pub(crate) struct SidecarShared {
+    pub(crate) settings: SidecarSettings,
+    pub(crate) dialect: Arc<dyn WireDialect>,
+    pub(crate) store: Arc<dyn KeyedStore>,
+    /// Counts suspension.
+    pub(crate) clock: MilliClock,
+    pub(crate) log: DecisionLog,
+    pub(crate) metrics: FleetMetrics,
+    pub(crate) door: BackendDoor,
+    pub(crate) backend: BackendWatch,
+    pub(crate) peers: PeerTable,
+    pub(crate) quota: QuotaBook,
+    pub(crate) admission: Mutex<RootAdmission>,
+    pub(crate) retries: Mutex<RetryAllowance>,
+    pub(crate) split: Mutex<WeightedSplit>,
+    pub(crate) stop: StopSignal,
+    pub(crate) own_key: u64,
+    evidence: Mutex<ConfigEvidence>,
+    config: ArcSwapOption<FleetConfig>,
+    lost_dependencies: Mutex<HashSet<String>>,
+}
+
+#[derive(Serialize)]
+struct DependencyLine<'a> {
+    dependency: &'a str,
+    reason: String,
+}
+
+#[derive(Serialize)]
+struct DoorRefusalLine<'a> {
+    request: &'a str,
+    root: &'a str,
+    service: &'a str,
+    is_root: bool,
+    priority: u8,
+    outcome: &'a CallOutcome,
+    running: u32,
+    waiting: u32,
+    slots: u32,
+    service_micros: u32,
+    deadline_in_ms: u64,
+}
+
+impl SidecarShared {
+    pub(crate) fn new(
+        settings: SidecarSettings,
+        dialect: Arc<dyn WireDialect>,
+        store: Arc<dyn KeyedStore>,
+        clock: MilliClock,
+        log: DecisionLog,
+    ) -> Self {
+        let pool = BackendPool::new(clock.clone(), dialect.headers().clone());
+        let now = clock.now();
+        SidecarShared {
+            door: BackendDoor::new(clock.clone(), settings.service.clone(), pool),
+            backend: BackendWatch::default(),
+            peers: PeerTable::default(),
+            quota: QuotaBook::new(clock.clone(), &settings.name),
+            admission: Mutex::new(RootAdmission::new(now)),
+            retries: Mutex::default(),
+            split: Mutex::default(),
+            stop: StopSignal::default(),
+            own_key: instance_key(&settings.name),
+            evidence: Mutex::default(),
+            config: ArcSwapOption::empty(),
+            lost_dependencies: Mutex::default(),
+            metrics: FleetMetrics::default(),
+            settings,
+            dialect,
+            store,
+            clock,
+            log,
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Option<Arc<FleetConfig>> {
+        self.config.load_full()
+    }
+
+    /// The version in force; 0 before the first.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.load().as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Puts a newer version in force.
+    pub(crate) fn install(&self, config: FleetConfig) {
+        self.quota.install(&config);
+        self.config.store(Some(Arc::new(config)));
+    }
+
+    /// Notes that everything written before `at` is known here.
+    pub(crate) fn prove(&self, at: MilliTime) {
+        self.evidence.lock().expect("no holder panics").prove(at);
+    }
+
+    /// The age of the proof that the configuration is the newest.
+    pub(crate) fn evidence_age(&self) -> Option<Duration> {
+        self.evidence.lock().expect("no holder panics").age(self.clock.now())
+    }
+
+    /// Whether a key that is known here certainly has not been withdrawn for too long.
+    pub(crate) fn trusts_keys(&self) -> bool {
+        let bound = self.settings.withdrawal_bound.saturating_sub(WITHDRAWAL_MARGIN);
+        self.evidence.lock().expect("no holder panics").is_fresh(self.clock.now(), bound)
+    }
+
+    /// Whether callers should send their requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let bound = self.settings.withdrawal_bound.mul_f64(READY_EVIDENCE_PART);
+        let evidence = self.evidence.lock().expect("no holder panics");
+        !self.stop.is_raised()
+            && self.config.load().is_some()
+            && evidence.is_fresh(self.clock.now(), bound)
+    }
+
+    /// The record of this daemon in the directory.
+    pub(crate) fn own_entry(&self) -> DirectoryEntry {
+        DirectoryEntry {
+            name: self.settings.name.clone(),
+            address: self.settings.peer_listen,
+            service: self.settings.service.clone(),
+            availability_zone: self.settings.availability_zone.clone(),
+            left: self.backend.left(),
+        }
+    }
+
+    /// Runs a request at the own backend server; a refusal leaves a line.
+    pub(crate) async fn run_at_door(&self, call: &DoorCall) -> (CallOutcome, CostList) {
+        let (outcome, costs) = self.door.run(call).await;
+        if !matches!(outcome, CallOutcome::Answered(_)) {
+            self.log_door_failure(call, &outcome);
+        }
+        (outcome, costs)
+    }
+
+    fn log_door_failure(&self, call: &DoorCall, outcome: &CallOutcome) {
+        let load = self.door.load();
+        let line = DoorRefusalLine {
+            request: &call.context.request_id,
+            root: &call.context.root_id,
+            service: &call.context.service,
+            is_root: call.context.rank.is_root,
+            priority: call.context.rank.priority,
+            outcome,
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            service_micros: load.service_micros,
+            deadline_in_ms: call.deadline.until(self.clock.now()).as_millis() as u64,
+        };
+        self.log.write(LineWeight::Failure, "backend-call-failed", &line);
+    }
+
+    /// Takes in the load that another daemon reported.
+    pub(crate) fn observe_load(&self, peer: &PeerEntry, load: &DoorLoad) {
+        self.observe_instance(&peer.service, peer.key, load);
+    }
+
+    /// Takes in the load at the own backend server.
+    pub(crate) fn observe_own_load(&self) {
+        self.observe_instance(&self.settings.service, self.own_key, &self.door.load());
+    }
+
+    fn observe_instance(&self, service: &Arc<str>, key: u64, load: &DoorLoad) {
+        let now = self.clock.now();
+        let mut admission = self.admission.lock().expect("no holder panics");
+        admission.observe_load(now, service, key, load);
+    }
+
+    /// Logs that the link to a peer was lost or regained.
+    pub(crate) fn note_peer(
+        &self,
+        peer: &PeerEntry,
+        is_connected: bool,
+        reason: &dyn std::fmt::Display,
+    ) {
+        let line = DependencyLine { dependency: &peer.name, reason: reason.to_string() };
+        let event = if is_connected { "peer-connected" } else { "peer-lost" };
+        self.log.write(LineWeight::Change, event, &line);
+    }
+
+    /// Notes that the store did not answer a reader; the first failure leaves a line.
+    pub(crate) fn store_failed(&self, reader: &str, error: &StoreError) {
+        self.metrics.count("store_failed");
+        let is_new =
+            self.lost_dependencies.lock().expect("no holder panics").insert(reader.to_owned());
+        if is_new {
+            let line = DependencyLine { dependency: reader, reason: error.to_string() };
+            self.log.write(LineWeight::Change, "store-lost", &line);
+        }
+    }
+
+    /// Notes that the store answered a reader.
+    pub(crate) fn store_answered(&self, reader: &str) {
+        let was_lost = self.lost_dependencies.lock().expect("no holder panics").remove(reader);
+        if was_lost {
+            let line = DependencyLine { dependency: reader, reason: "answered".to_owned() };
+            self.log.write(LineWeight::Change, "store-regained", &line);
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/request/dispatch.rs
@@ -0,0 +1,241 @@
+//! Sends a request to one instance after another until it is answered or may not be sent again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use smallvec::SmallVec;
+use tokio::time::sleep;
+
+use super::context::{BackendAnswer, CallOutcome, NotRunCause, UnknownCause};
+use crate::policy::placement::{PlacementCandidate, choose_instance};
+use crate::policy::root_admission::CostList;
+use crate::sidecar::connection::frame::PeerCall;
+use crate::sidecar::process::backend_door::DoorCall;
+use crate::sidecar::process::peer_table::PeerEntry;
+use crate::sidecar::process::sidecar_shared::SidecarShared;
+
+/// Instances that may refuse a request unsent before it is given up.
+const REFUSALS_MAX: usize = 3;
+/// How long a request waits for the first instance of its service to appear.
+const INSTANCE_WAIT: Duration = Duration::from_millis(150);
+const INSTANCE_POLL: Duration = Duration::from_millis(25);
+/// A second send needs this part of the time that the first one had.
+const RETRY_TIME_PART: f64 = 0.3;
+
+/// How a request ended after all sends.
+#[derive(Debug)]
+pub(crate) enum DispatchEnd {
+    /// A backend server answered.
+    Answered(BackendAnswer),
+    /// It did not run.
+    NotRun { cause: NotRunCause, room_in: Option<Duration> },
+    /// It may have run.
+    Unknown(UnknownCause),
+}
+
+/// A request's way through the instances of its service.
+pub(crate) struct RequestDispatch<'a> {
+    shared: &'a Arc<SidecarShared>,
+    call: &'a DoorCall,
+    attempts_max: u32,
+    tried: SmallVec<[u64; 4]>,
+    /// Sends that may have reached a backend server.
+    pub(crate) sends: u32,
+    /// What the answered send cost.
+    pub(crate) costs: CostList,
+    /// The instance that the request was last sent to.
+    pub(crate) instance: Option<Arc<str>>,
+    last_unknown: Option<UnknownCause>,
+}
+
+enum Destination {
+    Own,
+    Peer(Arc<PeerEntry>),
+}
+
+/// Counts a call in flight to a peer.
+struct FlightGuard {
+    peer: Arc<PeerEntry>,
+    failed: Option<bool>,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.peer.call_ended(self.failed);
+    }
+}
+
+impl<'a> RequestDispatch<'a> {
+    pub(crate) fn new(
+        shared: &'a Arc<SidecarShared>,
+        call: &'a DoorCall,
+        attempts_max: u32,
+    ) -> Self {
+        RequestDispatch {
+            shared,
+            call,
+            attempts_max: attempts_max.max(1),
+            tried: SmallVec::new(),
+            sends: 0,
+            costs: CostList::new(),
+            instance: None,
+            last_unknown: None,
+        }
+    }
+
+    /// Whether the request may have reached a backend server.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.sends > 0
+    }
+
+    /// Sends the request until it is answered or given up.
+    pub(crate) async fn run(&mut self) -> DispatchEnd {
+        let service = self.call.context.service.clone();
+        self.shared.retries.lock().expect("no holder panics").earn(&service);
+        let mut refusals = 0;
+        loop {
+            let Some(destination) = self.next_destination().await else {
+                return self.end_not_run(NotRunCause::NoBackend, 0);
+            };
+            let outcome = self.send(destination).await;
+            match outcome {
+                CallOutcome::Answered(answer) => {
+                    let is_own_failure = answer.is_server_error() && self.costs.len() <= 1;
+                    if !is_own_failure || !self.may_send_again(&service) {
+                        return DispatchEnd::Answered(answer);
+                    }
+                }
+                CallOutcome::NotRun { cause, room_millis } => {
+                    refusals += 1;
+                    if refusals >= REFUSALS_MAX || self.remaining().is_zero() {
+                        return self.end_not_run(cause, room_millis);
+                    }
+                }
+                CallOutcome::Unknown(cause) => {
+                    self.last_unknown = Some(cause);
+                    if !self.may_send_again(&service) {
+                        return DispatchEnd::Unknown(cause);
+                    }
+                }
+            }
+        }
+    }
+
+    /// "Not run" is only true if no earlier send may have run.
+    fn end_not_run(&self, cause: NotRunCause, room_millis: u32) -> DispatchEnd {
+        match self.last_unknown {
+            Some(unknown) => DispatchEnd::Unknown(unknown),
+            None => {
+                let room_in = Duration::from_millis(u64::from(room_millis));
+                DispatchEnd::NotRun { cause, room_in: (room_millis > 0).then_some(room_in) }
+            }
+        }
+    }
+
+    fn remaining(&self) -> Duration {
+        self.call.deadline.until(self.shared.clock.now())
+    }
+
+    fn may_send_again(&self, service: &str) -> bool {
+        let has_time = self.remaining() > self.call.planned_time().mul_f64(RETRY_TIME_PART);
+        !self.call.runs_once
+            && self.sends < self.attempts_max
+            && has_time
+            && self.shared.retries.lock().expect("no holder panics").spend(service)
+    }
+
+    async fn next_destination(&self) -> Option<Destination> {
+        let end = self.shared.clock.now() + INSTANCE_WAIT;
+        loop {
+            let chosen = self.choose();
+            if chosen.is_some() || self.shared.clock.now() >= end || !self.tried.is_empty() {
+                return chosen;
+            }
+            sleep(INSTANCE_POLL).await;
+        }
+    }
+
+    fn choose(&self) -> Option<Destination> {
+        let service = &self.call.context.service;
+        let peers = self.shared.peers.of_service(service);
+        let mut destinations: SmallVec<[Destination; 8]> = SmallVec::new();
+        let mut candidates: SmallVec<[PlacementCandidate; 8]> = SmallVec::new();
+        if *service == self.shared.settings.service && !self.tried.contains(&self.shared.own_key) {
+            destinations.push(Destination::Own);
+            candidates.push(own_candidate(self.shared));
+        }
+        for peer in peers {
+            if self.tried.contains(&peer.key) {
+                continue;
+            }
+            if let Some(candidate) = peer.candidate() {
+                destinations.push(Destination::Peer(peer));
+                candidates.push(candidate);
+            }
+        }
+        let mut random = rand::rng();
+        let index = choose_instance(&candidates, || random.random::<f64>())?;
+        Some(destinations.swap_remove(index))
+    }
+
+    async fn send(&mut self, destination: Destination) -> CallOutcome {
+        let (outcome, costs) = match destination {
+            Destination::Own => {
+                self.tried.push(self.shared.own_key);
+                self.instance = Some(self.shared.settings.name.clone());
+                self.sends += 1;
+                self.shared.run_at_door(self.call).await
+            }
+            Destination::Peer(peer) => {
+                self.tried.push(peer.key);
+                self.instance = Some(peer.name.clone());
+                self.sends += 1;
+                self.send_to_peer(peer).await
+            }
+        };
+        if matches!(outcome, CallOutcome::NotRun { .. }) {
+            self.sends -= 1;
+        }
+        self.costs = costs;
+        outcome
+    }
+
+    async fn send_to_peer(&self, peer: Arc<PeerEntry>) -> (CallOutcome, CostList) {
+        let Some(link) = peer.link() else {
+            let cause = NotRunCause::Unreachable;
+            return (CallOutcome::NotRun { cause, room_millis: 0 }, CostList::new());
+        };
+        peer.call_sent();
+        let mut flight = FlightGuard { peer, failed: None };
+        let now = self.shared.clock.now();
+        let call = PeerCall {
+            number: 0,
+            context: self.call.context.clone(),
+            request: self.call.request.clone(),
+            deadline_millis: self.call.deadline.until(now).as_millis() as u32,
+            due_millis: self.call.due.until(now).as_millis() as u32,
+            runs_once: self.call.runs_once,
+        };
+        match link.call(call).await {
+            Some(answer) => {
+                flight.failed = Some(matches!(answer.outcome, CallOutcome::Unknown(_)));
+                (answer.outcome, answer.costs)
+            }
+            None => {
+                flight.failed = Some(true);
+                (CallOutcome::Unknown(UnknownCause::LinkLost), CostList::new())
+            }
+        }
+    }
+}
+
+fn own_candidate(shared: &SidecarShared) -> PlacementCandidate {
+    PlacementCandidate {
+        load: shared.door.load(),
+        in_flight: 0,
+        in_flight_at_report: 0,
+        same_zone: true,
+        failed_permille: 0,
+    }
+}
--- /dev/null
+++ b/src/sidecar/request/entry.rs
@@ -0,0 +1,422 @@
+//! Serves a request of a caller, or a call of the backend server beside this daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderMap, HeaderName};
+use hyper::{Request, Response};
+use rand::Rng;
+use serde::Serialize;
+use tokio::time::timeout;
+
+use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause};
+use super::dispatch::{DispatchEnd, RequestDispatch};
+use super::response::{RequestRefusal, answer_response, refusal_response};
+use crate::clock::MilliTime;
+use crate::error::ResultCode;
+use crate::policy::request_rank::RequestRank;
+use crate::policy::return_time::return_after;
+use crate::policy::root_admission::{RootGroup, RootVerdict};
+use crate::request::header::end_to_end;
+use crate::sidecar::connection::backend_pool::list_headers;
+use crate::sidecar::process::backend_door::{DoorCall, RunNotes};
+use crate::sidecar::process::decision_log::LineWeight;
+use crate::sidecar::process::fleet_metrics::EndedRequest;
+use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::version::fleet_config::{FleetConfig, FleetOrganisation, FleetRoute};
+
+/// When a caller should come back to a daemon that has no proof of its configuration.
+const EVIDENCE_ROOM: Duration = Duration::from_millis(500);
+
+/// What is known of a request for its log line and metrics, filled in as it is found out.
+struct RequestTrace<'a> {
+    shared: &'a SidecarShared,
+    started: MilliTime,
+    request: Arc<str>,
+    root: Option<Arc<str>>,
+    route: Option<Arc<str>>,
+    service: Option<Arc<str>>,
+    organisation: Option<Arc<str>>,
+    instance: Option<Arc<str>>,
+    rank: RequestRank,
+    version: u64,
+    sends: u32,
+    is_ended: bool,
+}
+
+#[derive(Serialize)]
+struct RequestLine<'a> {
+    request: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    root: Option<&'a str>,
+    outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    code: Option<u16>,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    reason: &'a str,
+    route: Option<&'a str>,
+    service: Option<&'a str>,
+    organisation: Option<&'a str>,
+    instance: Option<&'a str>,
+    is_root: bool,
+    priority: u8,
+    sends: u32,
+    config_version: u64,
+    evidence_age_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    elapsed_ms: u64,
+}
+
+impl<'a> RequestTrace<'a> {
+    fn new(shared: &'a SidecarShared, request: Arc<str>) -> Self {
+        RequestTrace {
+            shared,
+            started: shared.clock.now(),
+            request,
+            root: None,
+            route: None,
+            service: None,
+            organisation: None,
+            instance: None,
+            rank: RequestRank::root(u8::MAX),
+            version: 0,
+            sends: 0,
+            is_ended: false,
+        }
+    }
+
+    fn end(
+        &mut self,
+        outcome: &'static str,
+        status: Option<u16>,
+        refusal: Option<&RequestRefusal>,
+    ) {
+        self.is_ended = true;
+        let elapsed = self.shared.clock.now().since(self.started);
+        self.shared.metrics.request_ended(&EndedRequest {
+            service: self.service.as_deref().unwrap_or(""),
+            organisation: self.organisation.as_deref().unwrap_or(""),
+            priority: self.rank.priority,
+            is_root: self.rank.is_root,
+            outcome,
+            elapsed,
+        });
+        let is_routine = status.is_some_and(|status| status < 500);
+        let weight = if is_routine { LineWeight::Routine } else { LineWeight::Failure };
+        let event = if is_routine { "request" } else { "request-failed" };
+        let age = self.shared.evidence_age();
+        let line = RequestLine {
+            request: &self.request,
+            root: self.root.as_deref(),
+            outcome,
+            status,
+            code: refusal.map(|refusal| refusal.code.number()),
+            reason: refusal.map_or("", |refusal| &refusal.reason),
+            route: self.route.as_deref(),
+            service: self.service.as_deref(),
+            organisation: self.organisation.as_deref(),
+            instance: self.instance.as_deref(),
+            is_root: self.rank.is_root,
+            priority: self.rank.priority,
+            sends: self.sends,
+            config_version: self.version,
+            evidence_age_ms: age.map(|age| age.as_millis() as u64),
+            retry_after_ms: refusal
+                .and_then(|refusal| refusal.retry_after)
+                .map(|wait| wait.as_millis() as u64),
+            elapsed_ms: elapsed.as_millis() as u64,
+        };
+        self.shared.log.write(weight, event, &line);
+    }
+}
+
+impl Drop for RequestTrace<'_> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.end("abandoned", None, None);
+        }
+    }
+}
+
+/// Serves one request.
+pub(crate) async fn serve_request(
+    shared: Arc<SidecarShared>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let id_header = &shared.dialect.headers().request_id;
+    let id = request.headers().get(id_header).and_then(|id| id.to_str().ok()).unwrap_or("");
+    let mut trace = RequestTrace::new(&shared, id.into());
+    match handle(&shared, request, &mut trace).await {
+        Ok(answer) => {
+            let outcome = if answer.is_success() { "served" } else { "answered" };
+            trace.end(outcome, Some(answer.status), None);
+            answer_response(answer)
+        }
+        Err(refusal) => {
+            trace.end(refusal.code.execution().name(), None, Some(&refusal));
+            refusal_response(&refusal)
+        }
+    }
+}
+
+/// A request whose route and caller are known.
+struct AdmittedRequest {
+    route: Arc<FleetRoute>,
+    organisation: Option<Arc<FleetOrganisation>>,
+    parent: Option<Arc<RunNotes>>,
+    deadline: MilliTime,
+    rank: RequestRank,
+}
+
+async fn handle(
+    shared: &Arc<SidecarShared>,
+    request: Request<Incoming>,
+    trace: &mut RequestTrace<'_>,
+) -> Result<BackendAnswer, RequestRefusal> {
+    if trace.request.is_empty() {
+        return Err(RequestRefusal::new(ResultCode::RequestMalformed, "no request id"));
+    }
+    let config = shared.config().ok_or_else(|| {
+        RequestRefusal::new(ResultCode::NotReady, "no configuration yet").retry_after(EVIDENCE_ROOM)
+    })?;
+    trace.version = config.version;
+    let admitted = identify(shared, &config, &request, trace)?;
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, config.limits.body_bytes).await?;
+    if let Some(organisation) = &admitted.organisation {
+        check_quota(shared, organisation, &admitted).await?;
+    }
+    if admitted.rank.is_root {
+        admit_root(shared, &admitted)?;
+    }
+    let service = choose_service(shared, &admitted.route);
+    trace.service = Some(service.clone());
+    let context = CallContext {
+        request_id: trace.request.clone(),
+        root_id: trace.root.clone().unwrap_or_else(|| trace.request.clone()),
+        organisation: admitted.organisation.as_ref().map(|found| found.name.clone()),
+        rank: admitted.rank,
+        caller_service: shared.settings.service.clone(),
+        service,
+    };
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let forward = ForwardRequest {
+        method: parts.method.as_str().to_owned(),
+        path: path.to_owned(),
+        headers: forward_headers(shared, &parts.headers),
+        body,
+    };
+    let due = match &admitted.parent {
+        Some(parent) => parent.due,
+        None => trace.started + admitted.route.target_latency,
+    };
+    let call = DoorCall {
+        context,
+        request: forward,
+        accepted: trace.started,
+        deadline: admitted.deadline,
+        due,
+        runs_once: !admitted.route.is_idempotent,
+    };
+    dispatch(shared, &admitted, &call, trace).await
+}
+
+/// Finds route, organisation, parent and deadline of a request.
+fn identify(
+    shared: &SidecarShared,
+    config: &FleetConfig,
+    request: &Request<Incoming>,
+    trace: &mut RequestTrace<'_>,
+) -> Result<AdmittedRequest, RequestRefusal> {
+    let names = shared.dialect.headers();
+    let host = host_of(request);
+    let route = config.route(host, request.uri().path());
+    let route = route
+        .ok_or_else(|| RequestRefusal::new(ResultCode::RouteUnknown, format!("host {host}")))?;
+    trace.route = Some(route.name.clone());
+    let stated = number(request.headers(), &names.deadline_millis);
+    let stated = stated.map_or(route.timeout, Duration::from_millis);
+    let deadline = trace.started + stated.min(route.timeout);
+    let organisation = match route.is_open {
+        true => None,
+        false => Some(authenticate(shared, config, request.headers())?),
+    };
+    trace.organisation = organisation.as_ref().map(|found| found.name.clone());
+    let parent = match route.is_open {
+        true => shared.door.parent(trace.started + stated),
+        false => None,
+    };
+    let rank = match (&parent, &organisation) {
+        (Some(parent), _) => RequestRank::call(parent.context.rank.priority),
+        // A call whose parent is not found is still work of a run under way.
+        (None, None) => RequestRank::call(route.priority),
+        (None, Some(found)) => RequestRank::root(found.priority.unwrap_or(route.priority)),
+    };
+    trace.root = parent.as_ref().map(|parent| parent.context.root_id.clone());
+    trace.rank = rank;
+    Ok(AdmittedRequest { route: route.clone(), organisation, parent, deadline, rank })
+}
+
+fn host_of(request: &Request<Incoming>) -> &str {
+    let header = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = header.or_else(|| request.uri().host()).unwrap_or("");
+    host.split(':').next().unwrap_or("")
+}
+
+/// The organisation whose key came with a request. Without proof that no newer configuration
+/// withdrew the key nothing is promised in its name.
+fn authenticate(
+    shared: &SidecarShared,
+    config: &FleetConfig,
+    headers: &HeaderMap,
+) -> Result<Arc<FleetOrganisation>, RequestRefusal> {
+    if !shared.trusts_keys() {
+        let refusal = RequestRefusal::new(ResultCode::StateStale, "no recent proof from the store");
+        return Err(refusal.retry_after(EVIDENCE_ROOM));
+    }
+    let names = shared.dialect.headers();
+    let shown = headers.get(&names.key).and_then(|value| value.to_str().ok());
+    let key = shown.and_then(|value| value.strip_prefix(names.key_prefix));
+    let key = key.ok_or_else(|| RequestRefusal::new(ResultCode::KeyMissing, ""))?;
+    let owner = config.key_owner(key);
+    owner.cloned().ok_or_else(|| RequestRefusal::new(ResultCode::KeyUnknown, ""))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RequestRefusal> {
+    let body = Limited::new(body, limit).collect().await;
+    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+        true => RequestRefusal::new(ResultCode::BodyTooLarge, ""),
+        false => RequestRefusal::new(ResultCode::RequestMalformed, error.to_string()),
+    })?;
+    Ok(body.to_bytes())
+}
+
+async fn check_quota(
+    shared: &SidecarShared,
+    organisation: &FleetOrganisation,
+    admitted: &AdmittedRequest,
+) -> Result<(), RequestRefusal> {
+    if shared.quota.admit(shared, organisation).await {
+        return Ok(());
+    }
+    let refusal = RequestRefusal::new(ResultCode::RateExceeded, "");
+    Err(refusal.retry_after(return_time(shared, admitted, None)))
+}
+
+/// Admits a root as far as the services that its run will reach have room.
+fn admit_root(shared: &SidecarShared, admitted: &AdmittedRequest) -> Result<(), RequestRefusal> {
+    let group = root_group(admitted);
+    let draw = rand::rng().random::<f64>();
+    let now = shared.clock.now();
+    let verdict = shared.admission.lock().expect("no holder panics").admit(now, &group, draw);
+    let RootVerdict::Refuse { service, part } = verdict else {
+        return Ok(());
+    };
+    if let Some(organisation) = &admitted.organisation {
+        shared.quota.hand_back(organisation);
+    }
+    let reason = format!("{service} is full: {:.0}% of the group is admitted", part * 100.0);
+    let refusal = RequestRefusal::new(ResultCode::Overloaded, reason);
+    Err(refusal.retry_after(return_time(shared, admitted, None)))
+}
+
+fn root_group(admitted: &AdmittedRequest) -> RootGroup {
+    RootGroup { route: admitted.route.name.clone(), priority: admitted.rank.priority }
+}
+
+fn return_time(
+    shared: &SidecarShared,
+    admitted: &AdmittedRequest,
+    room_in: Option<Duration>,
+) -> Duration {
+    let remaining = admitted.deadline.until(shared.clock.now());
+    return_after(remaining, room_in, rand::rng().random::<f64>())
+}
+
+fn choose_service(shared: &SidecarShared, route: &FleetRoute) -> Arc<str> {
+    let [only] = &route.destinations[..] else {
+        let weights: Vec<u32> = route.destinations.iter().map(|part| part.weight).collect();
+        let mut split = shared.split.lock().expect("no holder panics");
+        return route.destinations[split.choose(&route.name, &weights)].service.clone();
+    };
+    only.service.clone()
+}
+
+/// The headers that a backend server gets as the caller sent them.
+fn forward_headers(shared: &SidecarShared, headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let names = shared.dialect.headers();
+    let mut kept = end_to_end(headers);
+    for name in [
+        &names.key,
+        &names.request_id,
+        &names.deadline_millis,
+        &names.organisation,
+        &names.target,
+        &names.caller_service,
+    ] {
+        kept.remove(name);
+    }
+    if let Some(host) = headers.get(HOST) {
+        kept.insert(HOST, host.clone());
+    }
+    list_headers(&kept)
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    crate::request::header::number(headers, name)
+}
+
+async fn dispatch(
+    shared: &Arc<SidecarShared>,
+    admitted: &AdmittedRequest,
+    call: &DoorCall,
+    trace: &mut RequestTrace<'_>,
+) -> Result<BackendAnswer, RequestRefusal> {
+    let mut dispatch = RequestDispatch::new(shared, call, admitted.route.attempts_max);
+    let remaining = call.deadline.until(shared.clock.now());
+    let ended = timeout(remaining, dispatch.run()).await;
+    trace.sends = dispatch.sends;
+    trace.instance = dispatch.instance.clone();
+    let succeeded = matches!(&ended, Ok(DispatchEnd::Answered(answer)) if answer.is_success());
+    if let Some(parent) = &admitted.parent {
+        parent.call_ended(&dispatch.costs, succeeded);
+    }
+    if admitted.rank.is_root && succeeded {
+        let mut admission = shared.admission.lock().expect("no holder panics");
+        admission.observe_cost(&root_group(admitted), &dispatch.costs);
+    }
+    match ended {
+        Ok(DispatchEnd::Answered(answer)) => Ok(answer),
+        Ok(DispatchEnd::NotRun { cause, room_in }) => {
+            Err(not_run(shared, admitted, cause, room_in))
+        }
+        Ok(DispatchEnd::Unknown(cause)) => {
+            Err(RequestRefusal::new(ResultCode::AnswerMissing, format!("{cause:?}")))
+        }
+        Err(_) if dispatch.may_have_run() => {
+            Err(RequestRefusal::new(ResultCode::AnswerLate, "deadline"))
+        }
+        Err(_) => Err(RequestRefusal::new(ResultCode::Overloaded, "deadline before it was sent")),
+    }
+}
+
+fn not_run(
+    shared: &SidecarShared,
+    admitted: &AdmittedRequest,
+    cause: NotRunCause,
+    room_in: Option<Duration>,
+) -> RequestRefusal {
+    let code = match cause {
+        NotRunCause::NoBackend | NotRunCause::Unreachable => ResultCode::NoUpstream,
+        NotRunCause::TooLate => ResultCode::Overloaded,
+        NotRunCause::BackendRefused => ResultCode::BackendRefused,
+    };
+    let refusal = RequestRefusal::new(code, format!("{cause:?}"));
+    refusal.retry_after(return_time(shared, admitted, room_in))
+}
--- /dev/null
+++ b/src/sidecar/version/fleet_config.rs
@@ -0,0 +1,156 @@
+//! One whole version of the configuration.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::policy::token_share::RateTerms;
+
+/// A service that takes a part of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteDestination {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight among the route's destinations.
+    pub weight: u32,
+}
+
+/// A route in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetRoute {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The host that it belongs to.
+    pub host: Arc<str>,
+    /// The start of the paths that it matches.
+    pub prefix: Arc<str>,
+    /// Whether a request may run more than once.
+    pub is_idempotent: bool,
+    /// The longest time until a final answer.
+    pub timeout: Duration,
+    /// Answers that take longer are late.
+    pub target_latency: Duration,
+    /// The priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Where its requests go.
+    pub destinations: SmallVec<[RouteDestination; 2]>,
+    /// Backend servers that one request may be sent to.
+    pub attempts_max: u32,
+    /// Whether requests need no key.
+    pub is_open: bool,
+}
+
+/// An organisation in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetOrganisation {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Takes precedence over the priority of a route.
+    pub priority: Option<u8>,
+    /// Rate and burst over all daemons; `None` for no limit.
+    pub rate: Option<RateTerms>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestLimits {
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Bytes of a request's headers.
+    pub header_bytes: usize,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        RequestLimits { body_bytes: 16 << 20, header_bytes: 64 << 10 }
+    }
+}
+
+/// A whole version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct FleetConfig {
+    /// Rises with every change.
+    pub version: u64,
+    /// What callers may send.
+    pub limits: RequestLimits,
+    routes: HashMap<Arc<str>, Vec<Arc<FleetRoute>>>,
+    organisations: HashMap<Arc<str>, Arc<FleetOrganisation>>,
+    keys: HashMap<Arc<str>, Arc<FleetOrganisation>>,
+}
+
+impl FleetConfig {
+    /// A configuration without routes.
+    pub fn new(version: u64) -> Self {
+        FleetConfig { version, ..FleetConfig::default() }
+    }
+
+    /// Adds a route.
+    pub fn add_route(&mut self, route: FleetRoute) {
+        let routes = self.routes.entry(route.host.clone()).or_default();
+        let longer = |other: &Arc<FleetRoute>| other.prefix.len() >= route.prefix.len();
+        let position = routes.iter().take_while(|other| longer(other)).count();
+        routes.insert(position, Arc::new(route));
+    }
+
+    /// Adds an organisation and its keys.
+    pub fn add_organisation(
+        &mut self,
+        organisation: FleetOrganisation,
+        keys: impl IntoIterator<Item = Arc<str>>,
+    ) {
+        let organisation = Arc::new(organisation);
+        self.organisations.insert(organisation.name.clone(), organisation.clone());
+        self.keys.extend(keys.into_iter().map(|key| (key, organisation.clone())));
+    }
+
+    /// The route of `host` with the longest prefix of `path`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::sidecar::version::fleet_config::{FleetConfig, FleetRoute};
+    /// let mut config = FleetConfig::new(1);
+    /// for prefix in ["/", "/stock/"] {
+    ///     config.add_route(FleetRoute {
+    ///         name: prefix.into(),
+    ///         host: "shop.example".into(),
+    ///         prefix: prefix.into(),
+    ///         is_idempotent: true,
+    ///         timeout: Duration::from_secs(1),
+    ///         target_latency: Duration::from_secs(1),
+    ///         priority: 1,
+    ///         destinations: Default::default(),
+    ///         attempts_max: 2,
+    ///         is_open: true,
+    ///     });
+    /// }
+    /// assert_eq!(&*config.route("shop.example", "/stock/7").unwrap().name, "/stock/");
+    /// assert_eq!(&*config.route("shop.example", "/other").unwrap().name, "/");
+    /// assert!(config.route("else.example", "/").is_none());
+    /// ```
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<FleetRoute>> {
+        let routes = self.routes.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The organisation that holds `key`.
+    pub fn key_owner(&self, key: &str) -> Option<&Arc<FleetOrganisation>> {
+        self.keys.get(key)
+    }
+
+    /// All organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<FleetOrganisation>> {
+        self.organisations.values()
+    }
+
+    /// The organisation with this name.
+    pub fn organisation(&self, name: &str) -> Option<&Arc<FleetOrganisation>> {
+        self.organisations.get(name)
+    }
+
+    /// Routes in force.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
