--- a/src/policy/token_share.rs
+++ b/src/policy/token_share.rs
@@ -17,6 +17,8 @@
 const POOL_PART: f64 = 0.6;
 /// Window of the rate of own demand, in seconds.
 const DEMAND_WINDOW_SECONDS: f64 = 1.0;
+/// Minting time that a daemon holds beside its part of the burst until the next move to the pool.
+const MOVE_SPAN: Duration = Duration::from_millis(500);
 /// Amounts below this are not worth a message.
 const SURPLUS_MIN: f64 = 0.25;
 
@@ -100,8 +102,8 @@
     }
 
     /// Hands back the token of a request that was refused.
-    pub fn hand_back(&mut self) {
-        self.receive(1.0);
+    pub fn hand_back(&mut self, now: MilliTime) {
+        self.receive(now, 1.0);
     }
 
     /// Takes what is not needed here, for the pool.
@@ -140,9 +142,11 @@
         lent
     }
 
-    /// Takes tokens in; those over the bound are dropped.
-    pub fn receive(&mut self, tokens: f64) {
-        self.tokens = (self.tokens + tokens).min(self.tokens_max().max(self.tokens));
+    /// Takes tokens in; those over the bound and over what own demand needs are dropped.
+    pub fn receive(&mut self, now: MilliTime, tokens: f64) {
+        let needed = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64() + 1.0;
+        let bound = self.tokens_max().max(needed).max(self.tokens);
+        self.tokens = (self.tokens + tokens).min(bound);
     }
 
     /// Tokens in hand.
@@ -155,13 +159,16 @@
         self.minted = self.minted.max(now);
         if self.mints {
             let minted = elapsed * self.terms.per_second / self.members as f64;
-            self.receive(minted);
+            self.receive(now, minted);
         }
     }
 
-    /// The burst is divided so that all daemons together hold no more than it.
+    /// The burst is divided so that all daemons together hold no more than it, besides what was
+    /// minted since they last gave to the pool.
     fn tokens_max(&self) -> f64 {
-        let equal_part = self.terms.burst * (1.0 - POOL_PART) / self.members as f64;
+        let members = self.members as f64;
+        let on_the_move = self.terms.per_second * MOVE_SPAN.as_secs_f64() / members;
+        let equal_part = self.terms.burst * (1.0 - POOL_PART) / members + on_the_move;
         let pooled = if self.is_pool { self.terms.burst * POOL_PART } else { 0.0 };
         (equal_part + pooled).max(1.0)
     }
--- a/src/sidecar/process/quota_book.rs
+++ b/src/sidecar/process/quota_book.rs
@@ -155,17 +155,19 @@
 
     /// Hands back the token of a request that was refused for another reason.
     pub(crate) fn hand_back(&self, organisation: &FleetOrganisation) {
+        let now = self.clock.now();
         if let Some(known) = self.lock().shares.get_mut(&organisation.name) {
-            known.share.hand_back();
+            known.share.hand_back(now);
         }
     }
 
     /// Takes tokens in that another daemon gave away.
     pub(crate) fn receive(&self, amounts: &[TokenAmount]) {
+        let now = self.clock.now();
         let mut state = self.lock();
         for amount in amounts {
             if let Some(known) = state.shares.get_mut(&amount.organisation) {
-                known.share.receive(amount.tokens);
+                known.share.receive(now, amount.tokens);
             }
         }
         drop(state);
