--- a/src/policy/door_queue.rs
+++ b/src/policy/door_queue.rs
@@ -1,9 +1,10 @@
 //! Lets requests in to one backend server and orders those that wait.
 //!
 //! Answers a backend server that is asked for more than its slots: it hangs when it is full and
-//! slows down when it is nearly full, so it is kept just below, and the rest waits here. Calls of
-//! runs under way go first, then the more urgent, then the earlier deadline. A request that cannot
-//! finish in time by the measured service time is told so at once instead of after a wait.
+//! slows down when it is nearly full, so it is kept just below, and the rest waits here. The
+//! request that must be started soonest goes first. A call of a run has only a part of the time
+//! that its run has left, since the run goes on after it. A request that cannot finish in time by
+//! the measured service time is told so at once instead of after a wait.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,6 +21,11 @@
 const SERVICE_PART_NEEDED: f64 = 0.7;
 /// Service time in milliseconds before the first sample.
 const SERVICE_MILLIS_DEFAULT: f64 = 50.0;
+/// Part of the time that is left for a run which one of its calls may take: runs make several
+/// calls, most of them one after the other.
+const CALL_TIME_PART: f64 = 0.33;
+/// Start times of less urgent requests are put off by this for each step of priority.
+const PRIORITY_STEP: Duration = Duration::from_millis(10);
 /// Weight of one run in the mean service time.
 const SERVICE_SAMPLE_WEIGHT: f64 = 0.05;
 /// Window of the rate of arriving work, in seconds: a few runs of a deep service.
@@ -61,8 +67,7 @@
 /// Names a request that waits; the order is the order of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitTicket {
-    rank: RequestRank,
-    deadline: MilliTime,
+    start_by: MilliTime,
     number: u64,
 }
 
@@ -82,7 +87,8 @@
     running: usize,
     waiting: BTreeMap<WaitTicket, DoorRequest>,
     next_number: u64,
-    service_millis: SampleAverage,
+    call_millis: SampleAverage,
+    root_millis: SampleAverage,
     failed_part: FailurePart,
     arrivals: RateAverage,
 }
@@ -95,7 +101,8 @@
             running: 0,
             waiting: BTreeMap::new(),
             next_number: 0,
-            service_millis: SampleAverage::new(SERVICE_SAMPLE_WEIGHT),
+            call_millis: SampleAverage::new(SERVICE_SAMPLE_WEIGHT),
+            root_millis: SampleAverage::new(SERVICE_SAMPLE_WEIGHT),
             failed_part: FailurePart::new(now),
             arrivals: RateAverage::new(DEMAND_WINDOW_SECONDS, now),
         }
@@ -109,7 +116,8 @@
 
     /// Forgets what was measured, for another backend server.
     pub fn forget_measures(&mut self, now: MilliTime) {
-        self.service_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
+        self.call_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
+        self.root_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
         self.failed_part = FailurePart::new(now);
     }
 
@@ -135,16 +143,15 @@
         if limit == 0 {
             return DoorVerdict::Refuse(DoorRefusal::NoBackend);
         }
-        self.arrivals.add(now, self.service_mean());
+        self.arrivals.add(now, self.service_millis(request.rank.is_root));
         if self.running < limit && self.waiting.is_empty() {
             self.running += 1;
             return DoorVerdict::Run;
         }
         self.next_number += 1;
-        let (rank, deadline) = (request.rank, request.deadline);
-        let ticket = WaitTicket { rank, deadline, number: self.next_number };
+        let ticket = WaitTicket { start_by: self.start_by(now, &request), number: self.next_number };
         let wait = self.expected_wait(self.waiting.range(..ticket).count());
-        if now + wait + self.needed_time() > latest_finish(&request) {
+        if now + wait + self.needed_time(&request) > latest_finish(&request) {
             return DoorVerdict::Refuse(DoorRefusal::TooLate(wait));
         }
         self.waiting.insert(ticket, request);
@@ -158,17 +165,14 @@
             let (ticket, _) = self.waiting.pop_first()?;
             return Some((ticket, WaitOutcome::Refuse(DoorRefusal::NoBackend)));
         }
-        let has_room = self.running < limit;
-        let needed = self.needed_time();
-        let is_late = |request: &DoorRequest| now + needed > request.deadline;
-        let first = self.waiting.first_key_value().map(|(ticket, request)| (*ticket, *request));
-        let (ticket, request) = first?;
-        if is_late(&request) {
+        let (ticket, request) = self.waiting.first_key_value()?;
+        let (ticket, request) = (*ticket, *request);
+        if self.is_hopeless(now, &request) {
             self.waiting.remove(&ticket);
             let room_in = self.expected_wait(self.waiting.len());
             return Some((ticket, WaitOutcome::Refuse(DoorRefusal::TooLate(room_in))));
         }
-        if !has_room {
+        if self.running >= limit {
             return None;
         }
         self.waiting.remove(&ticket);
@@ -178,14 +182,9 @@
 
     /// Takes waiting requests that cannot finish in time any more.
     pub fn take_hopeless(&mut self, now: MilliTime) -> Vec<WaitTicket> {
-        let needed = self.needed_time();
-        let hopeless = |request: &DoorRequest| now + needed > request.deadline;
-        let tickets: Vec<WaitTicket> = self
-            .waiting
-            .iter()
-            .filter(|(_, request)| hopeless(request))
-            .map(|(ticket, _)| *ticket)
-            .collect();
+        let waiting = self.waiting.iter();
+        let hopeless = waiting.filter(|(_, request)| self.is_hopeless(now, request));
+        let tickets: Vec<WaitTicket> = hopeless.map(|(ticket, _)| *ticket).collect();
         for ticket in &tickets {
             self.waiting.remove(ticket);
         }
@@ -204,11 +203,18 @@
 
     /// Ends a run. A run that was answered counts for the service time, and `failed` tells whether
     /// the backend server failed it.
-    pub fn finish(&mut self, now: MilliTime, elapsed: Option<Duration>, failed: bool) {
+    pub fn finish(
+        &mut self,
+        now: MilliTime,
+        rank: RequestRank,
+        elapsed: Option<Duration>,
+        failed: bool,
+    ) {
         self.release();
         self.failed_part.add(now, failed);
         if let Some(elapsed) = elapsed {
-            self.service_millis.add(elapsed.as_secs_f64() * 1_000.0);
+            let average = if rank.is_root { &mut self.root_millis } else { &mut self.call_millis };
+            average.add(elapsed.as_secs_f64() * 1_000.0);
         }
     }
 
@@ -232,12 +238,35 @@
         arriving + BACKLOG_WEIGHT * self.waiting.len() as f64 / limit
     }
 
+    fn service_millis(&self, is_root: bool) -> f64 {
+        let (own, other) = match is_root {
+            true => (&self.root_millis, &self.call_millis),
+            false => (&self.call_millis, &self.root_millis),
+        };
+        own.mean_or(other.mean_or(SERVICE_MILLIS_DEFAULT))
+    }
+
+    /// The mean over calls and roots, which a sender does not know apart.
     fn service_mean(&self) -> f64 {
-        self.service_millis.mean_or(SERVICE_MILLIS_DEFAULT)
+        (self.service_millis(true) + self.service_millis(false)) / 2.0
+    }
+
+    fn needed_time(&self, request: &DoorRequest) -> Duration {
+        let millis = self.service_millis(request.rank.is_root) * SERVICE_PART_NEEDED;
+        Duration::from_secs_f64(millis / 1_000.0)
     }
 
-    fn needed_time(&self) -> Duration {
-        Duration::from_secs_f64(self.service_mean() * SERVICE_PART_NEEDED / 1_000.0)
+    fn is_hopeless(&self, now: MilliTime, request: &DoorRequest) -> bool {
+        now + self.needed_time(request) > latest_finish(request)
+    }
+
+    /// When a request must be started so that its root request is answered in time. A run that is
+    /// late already has until its deadline.
+    fn start_by(&self, now: MilliTime, request: &DoorRequest) -> MilliTime {
+        let end = if request.due > now { request.due } else { request.deadline };
+        let part = if request.rank.is_root { 1.0 } else { CALL_TIME_PART };
+        let left = end.until(now).mul_f64(part).saturating_sub(self.needed_time(request));
+        now + left + PRIORITY_STEP * u32::from(request.rank.priority.min(PRIORITY_MAX))
     }
 
     /// A full server of `s` slots and service time `t` takes a request every `t / s`.
@@ -247,6 +276,9 @@
     }
 }
 
+/// Priorities beyond this are treated alike.
+const PRIORITY_MAX: u8 = 40;
+
 fn latest_finish(request: &DoorRequest) -> MilliTime {
     if request.rank.is_root { request.due.min(request.deadline) } else { request.deadline }
 }
--- a/src/policy/request_rank.rs
+++ b/src/policy/request_rank.rs
@@ -3,11 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What a request is worth to its service compared with others that wait there.
-///
-/// The derived order puts the request to be served first lowest: calls of runs that are under way
-/// come before new roots, since a run whose call is lost has wasted all the work done for it; then
-/// the more urgent priority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RequestRank {
     /// The root request itself, not a call made by a run.
     pub is_root: bool,
@@ -20,8 +16,8 @@
     ///
     /// ```
     /// use lentilway::policy::request_rank::RequestRank;
-    /// assert!(RequestRank::root(0) < RequestRank::root(2));
-    /// assert!(RequestRank::call(2) < RequestRank::root(0));
+    /// assert!(RequestRank::root(0).is_root);
+    /// assert!(!RequestRank::call(2).is_root);
     /// ```
     pub fn root(priority: u8) -> Self {
         RequestRank { is_root: true, priority }
--- a/src/policy/retry_allowance.rs
+++ b/src/policy/retry_allowance.rs
@@ -6,9 +6,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Retries per request, below the fleet's bound of 0.2: a retried run makes its own calls again,
-/// which count at the services called.
-pub const RETRIES_PER_REQUEST: f64 = 0.05;
+/// Retries per request, well below the fleet's bound of 0.2: a retried run makes its own calls
+/// again, which count at the services called.
+pub const RETRIES_PER_REQUEST: f64 = 0.08;
 /// Retries that one daemon may save up. The sum over a fleet of 14 stays under its slack of 50.
 pub const SAVED_RETRIES_MAX: f64 = 2.0;
 
--- a/src/policy/root_admission.rs
+++ b/src/policy/root_admission.rs
@@ -6,7 +6,7 @@
 //! service, both from answers. A level for each service, the part of the demand that is let in,
 //! follows the reported demand. Groups share it in order of priority and, within one, of cost.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,13 +20,13 @@
 const ADJUST_SPAN: Duration = Duration::from_millis(100);
 /// Demand, as a part of the slots, that the levels steer towards.
 const DEMAND_TARGET: f64 = 0.95;
-/// Part of the gap, in logarithms, that one adjustment closes while demand is too high. Calls of
-/// admitted runs arrive for some hundred milliseconds, so a larger part would overshoot.
-const GAIN_DOWN: f64 = 0.2;
-/// The same while there is room.
-const GAIN_UP: f64 = 0.1;
+/// Adjustments after which an admitted root shows in the demand: its calls arrive within some
+/// hundred milliseconds.
+const EFFECT_DELAY: std::ops::Range<usize> = 2..8;
+/// Weight of one adjustment in the estimated demand, a time constant of half a second.
+const DEMAND_SAMPLE_WEIGHT: f64 = 0.2;
 /// Bounds of the measured demand in one adjustment.
-const DEMAND_RANGE: (f64, f64) = (0.4, 3.0);
+const DEMAND_RANGE: (f64, f64) = (0.02, 3.0);
 /// Reports older than this say nothing.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// The least part of the demand that is let in.
@@ -102,11 +102,19 @@
 struct ServiceLevel {
     reports: HashMap<u64, InstanceReport>,
     level: f64,
+    /// Levels of the last adjustments, the newest first.
+    history: VecDeque<f64>,
+    demand: SampleAverage,
 }
 
 impl Default for ServiceLevel {
     fn default() -> Self {
-        ServiceLevel { reports: HashMap::new(), level: 1.0 }
+        ServiceLevel {
+            reports: HashMap::new(),
+            level: 1.0,
+            history: VecDeque::from(vec![1.0; EFFECT_DELAY.end]),
+            demand: SampleAverage::new(DEMAND_SAMPLE_WEIGHT),
+        }
     }
 }
 
@@ -240,8 +248,16 @@
         let asked: f64 = self.reports.values().map(|report| report.demand * report.slots).sum();
         let demand = if slots > 0.0 { asked / slots } else { 0.0 };
         let demand = demand.clamp(DEMAND_RANGE.0, DEMAND_RANGE.1);
-        let gain = if demand > DEMAND_TARGET { GAIN_DOWN } else { GAIN_UP };
-        self.level = (self.level * (DEMAND_TARGET / demand).powf(gain)).clamp(LEVEL_MIN, 1.0);
+        self.demand.add(demand / self.effective_level());
+        self.level = (DEMAND_TARGET / self.demand.mean_or(0.0)).clamp(LEVEL_MIN, 1.0);
+        self.history.push_front(self.level);
+        self.history.truncate(EFFECT_DELAY.end);
+    }
+
+    /// The mean level when the roots came that show in the demand now.
+    fn effective_level(&self) -> f64 {
+        let levels = self.history.range(EFFECT_DELAY);
+        levels.sum::<f64>() / EFFECT_DELAY.len() as f64
     }
 }
 
--- a/src/sidecar/process/backend_door.rs
+++ b/src/sidecar/process/backend_door.rs
@@ -128,7 +128,7 @@
         match self.failed {
             Some(failed) => {
                 let elapsed = (!failed).then(|| now.since(self.started));
-                state.queue.finish(now, elapsed, failed);
+                state.queue.finish(now, self.notes.context.rank, elapsed, failed);
             }
             None => state.queue.release(),
         }
--- a/src/sidecar/process/decision_log.rs
+++ b/src/sidecar/process/decision_log.rs
@@ -64,6 +64,7 @@
 struct BufferCell {
     buffer: Mutex<LineBuffer>,
     filled: Condvar,
+    closing: Condvar,
 }
 
 /// Writes lines about decisions.
@@ -116,6 +117,7 @@
     pub fn close(&self) {
         self.cell.buffer.lock().expect("no holder panics").closed = true;
         self.cell.filled.notify_one();
+        self.cell.closing.notify_one();
         let writer = self.writer.lock().expect("no holder panics").take();
         if let Some(writer) = writer {
             // A writer that panicked has nothing left to write.
@@ -166,10 +168,18 @@
         if closed {
             return;
         }
-        std::thread::sleep(WRITE_INTERVAL);
+        wait_interval(cell);
     }
 }
 
+/// Waits until the next write is due, or until the log is closed.
+fn wait_interval(cell: &BufferCell) {
+    let buffer = cell.buffer.lock().expect("no holder panics");
+    let is_open = |buffer: &mut LineBuffer| !buffer.closed;
+    let waited = cell.closing.wait_timeout_while(buffer, WRITE_INTERVAL, is_open);
+    drop(waited.expect("no holder panics"));
+}
+
 fn take_lines(cell: &BufferCell) -> (Vec<u8>, u64, bool) {
     let mut buffer = cell.buffer.lock().expect("no holder panics");
     while buffer.bytes.is_empty() && !buffer.closed {
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -33,10 +33,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Part of the time to stop for which new requests are still taken: readiness is asked for once a
 /// second, and callers move away after two misses.
-const LINGER_PART: f64 = 0.55;
+const LINGER_PART: f64 = 0.4;
 /// Time kept back from the bound of a stop.
-const STOP_MARGIN: Duration = Duration::from_millis(350);
-const CLEANUP_MAX: Duration = Duration::from_millis(300);
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+const CLEANUP_MAX: Duration = Duration::from_millis(250);
 
 /// A running sidecar daemon.
 pub struct SidecarDaemon {
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -108,7 +108,10 @@
                 }
                 CallOutcome::NotRun { cause, room_millis } => {
                     refusals += 1;
-                    if refusals >= REFUSALS_MAX || self.remaining().is_zero() {
+                    let is_over = refusals >= REFUSALS_MAX || self.remaining().is_zero();
+                    // A backend server that refuses was reached; another send draws on the budget.
+                    let was_reached = cause == NotRunCause::BackendRefused;
+                    if is_over || (was_reached && !self.take_retry(&service)) {
                         return self.end_not_run(cause, room_millis);
                     }
                 }
@@ -142,7 +145,13 @@
         !self.call.runs_once
             && self.sends < self.attempts_max
             && has_time
-            && self.shared.retries.lock().expect("no holder panics").spend(service)
+            && self.take_retry(service)
+    }
+
+    fn take_retry(&self, service: &str) -> bool {
+        let taken = self.shared.retries.lock().expect("no holder panics").spend(service);
+        self.shared.metrics.count(if taken { "retry" } else { "retry_refused" });
+        taken
     }
 
     async fn next_destination(&self) -> Option<Destination> {
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -31,6 +31,9 @@
 /// When a caller should come back to a daemon that has no proof of its configuration.
 const EVIDENCE_ROOM: Duration = Duration::from_millis(500);
 
+/// Priorities of routes that are told apart.
+const ROUTE_PRIORITIES: u8 = 15;
+
 /// What is known of a request for its log line and metrics, filled in as it is found out.
 struct RequestTrace<'a> {
     shared: &'a SidecarShared,
@@ -255,14 +258,22 @@
     let rank = match (&parent, &organisation) {
         (Some(parent), _) => RequestRank::call(parent.context.rank.priority),
         // A call whose parent is not found is still work of a run under way.
-        (None, None) => RequestRank::call(route.priority),
-        (None, Some(found)) => RequestRank::root(found.priority.unwrap_or(route.priority)),
+        (None, None) => RequestRank::call(priority(route, None)),
+        (None, Some(found)) => RequestRank::root(priority(route, Some(found))),
     };
     trace.root = parent.as_ref().map(|parent| parent.context.root_id.clone());
     trace.rank = rank;
     Ok(AdmittedRequest { route: route.clone(), organisation, parent, deadline, rank })
 }
 
+/// The priority of the organisation goes before that of the route, which orders requests of
+/// organisations with equal priority.
+fn priority(route: &FleetRoute, organisation: Option<&Arc<FleetOrganisation>>) -> u8 {
+    let first = organisation.and_then(|found| found.priority).unwrap_or(0);
+    first.min(ROUTE_PRIORITIES).saturating_mul(ROUTE_PRIORITIES)
+        + route.priority.min(ROUTE_PRIORITIES - 1)
+}
+
 fn host_of(request: &Request<Incoming>) -> &str {
     let header = request.headers().get(HOST).and_then(|host| host.to_str().ok());
     let host = header.or_else(|| request.uri().host()).unwrap_or("");
