Costs of roots learned from failed runs too; parents of calls by their ids

Ruled out: the door shut to the restarted backend server (it was open; 'NoBackend' hid the refusal 'TooLate' of the only instance, mended too).

--- a/src/policy/door_queue.rs
+++ b/src/policy/door_queue.rs
@@ -149,7 +149,8 @@
             return DoorVerdict::Run;
         }
         self.next_number += 1;
-        let ticket = WaitTicket { start_by: self.start_by(now, &request), number: self.next_number };
+        let ticket =
+            WaitTicket { start_by: self.start_by(now, &request), number: self.next_number };
         let wait = self.expected_wait(self.waiting.range(..ticket).count());
         if now + wait + self.needed_time(&request) > latest_finish(&request) {
             return DoorVerdict::Refuse(DoorRefusal::TooLate(wait));
--- a/src/policy/root_admission.rs
+++ b/src/policy/root_admission.rs
@@ -40,6 +40,9 @@
 /// Cost below which a group does not use a service, in slot-milliseconds.
 const COST_MIN: f64 = 1.0;
 
+/// Cost at a short service of a group that nothing is known of, in slot-milliseconds.
+const COST_ASSUMED: f64 = 100.0;
+
 /// Roots that are treated alike.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RootGroup {
@@ -162,7 +165,8 @@
         };
     }
 
-    /// Takes in what a root that was answered cost.
+    /// Takes in what a root that was answered cost. A run that failed counts too, though it may
+    /// not have made all its calls: after a restart into overload there may be no others.
     pub fn observe_cost(&mut self, group: &RootGroup, costs: &CostList) {
         let Some(demand) = self.groups.get_mut(group) else {
             return;
@@ -276,7 +280,9 @@
     }
     let mut claims: Vec<Claim<'_>> = Vec::with_capacity(groups.len());
     for (group, demand) in groups.iter_mut() {
-        let cost = demand.costs.get(service).map_or(0.0, |cost| cost.mean_or(0.0));
+        // Until the first answer nothing is known; such roots may not crowd out the others.
+        let unknown = if demand.costs.is_empty() { COST_ASSUMED } else { 0.0 };
+        let cost = demand.costs.get(service).map_or(unknown, |cost| cost.mean_or(0.0));
         if cost >= COST_MIN {
             let work = demand.arrivals.per_second(now) * cost;
             claims.push(Claim { priority: group.priority, cost, work, demand });
--- a/src/policy/run_book.rs
+++ b/src/policy/run_book.rs
@@ -1,68 +1,88 @@
 //! Finds the run that made a call.
 //!
-//! A backend server's own calls carry no context, but they expire when their parent does. The
-//! daemon beside it knows the deadline of every run there, so the run whose deadline is nearest is
-//! the parent. Rank and cost of the root request follow its calls this way.
+//! A backend server's own calls carry no context. Many servers derive the id of a call from that
+//! of its run, `RUN.CALL`; where they do not, the deadline tells: calls expire when their run does,
+//! and the daemon beside the server knows the deadline of every run there. Rank and cost of the
+//! root request follow its calls this way.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::MilliTime;
 
 /// Deadlines of call and parent differ by the way to the backend server and back, and rounding.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(40);
+/// Stands between the id of a run and what a call adds to it.
+const ID_SEPARATOR: char = '.';
 
-/// Runs in flight at one backend server, by deadline.
+/// Runs in flight at one backend server.
 #[derive(Debug)]
 pub struct RunBook<T> {
-    runs: BTreeMap<(MilliTime, u64), T>,
+    runs: BTreeMap<RunEntry, T>,
+    by_id: HashMap<Arc<str>, RunEntry>,
     next: u64,
 }
 
 impl<T> Default for RunBook<T> {
     fn default() -> Self {
-        RunBook { runs: BTreeMap::new(), next: 0 }
+        RunBook { runs: BTreeMap::new(), by_id: HashMap::new(), next: 0 }
     }
 }
 
 /// Names an entry of a [`RunBook`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RunEntry {
     deadline: MilliTime,
     number: u64,
 }
 
 impl<T> RunBook<T> {
-    /// Notes a run that expires at `deadline`.
-    pub fn start(&mut self, deadline: MilliTime, run: T) -> RunEntry {
+    /// Notes a run of the request with this id that expires at `deadline`.
+    pub fn start(&mut self, id: &Arc<str>, deadline: MilliTime, run: T) -> RunEntry {
         self.next += 1;
-        self.runs.insert((deadline, self.next), run);
-        RunEntry { deadline, number: self.next }
+        let entry = RunEntry { deadline, number: self.next };
+        self.runs.insert(entry, run);
+        self.by_id.insert(id.clone(), entry);
+        entry
     }
 
-    /// Forgets a run and returns what was noted of it.
-    pub fn end(&mut self, entry: RunEntry) -> Option<T> {
-        self.runs.remove(&(entry.deadline, entry.number))
+    /// Forgets a run of the request with this id and returns what was noted of it.
+    pub fn end(&mut self, id: &str, entry: RunEntry) -> Option<T> {
+        if self.by_id.get(id) == Some(&entry) {
+            self.by_id.remove(id);
+        }
+        self.runs.remove(&entry)
     }
 
-    /// The run whose deadline is nearest to that of a call, within the tolerance.
+    /// The run that made the call with this id and deadline: by its id, or else the one whose
+    /// deadline is nearest, within the tolerance.
     ///
     /// ```
     /// use lentilway::clock::MilliTime;
     /// use lentilway::policy::run_book::RunBook;
     /// let mut book = RunBook::default();
-    /// book.start(MilliTime(1_000), "a");
-    /// book.start(MilliTime(1_400), "b");
-    /// assert_eq!(book.parent(MilliTime(1_395)), Some(&"b"));
-    /// assert_eq!(book.parent(MilliTime(3_000)), None);
+    /// book.start(&"a".into(), MilliTime(1_000), "run a");
+    /// book.start(&"b".into(), MilliTime(1_400), "run b");
+    /// assert_eq!(book.parent("a.7", MilliTime(1_395)), Some(&"run a"));
+    /// assert_eq!(book.parent("x", MilliTime(1_395)), Some(&"run b"));
+    /// assert_eq!(book.parent("x", MilliTime(3_000)), None);
     /// ```
-    pub fn parent(&self, deadline: MilliTime) -> Option<&T> {
-        let after = self.runs.range((deadline, 0)..).next();
-        let before = self.runs.range(..(deadline, 0)).next_back();
+    pub fn parent(&self, call_id: &str, deadline: MilliTime) -> Option<&T> {
+        let prefix = call_id.rsplit_once(ID_SEPARATOR).map(|(prefix, _)| prefix);
+        let by_id = prefix.and_then(|prefix| self.by_id.get(prefix));
+        let entry = by_id.copied().or_else(|| self.nearest(deadline))?;
+        self.runs.get(&entry)
+    }
+
+    fn nearest(&self, deadline: MilliTime) -> Option<RunEntry> {
+        let bound = RunEntry { deadline, number: 0 };
+        let after = self.runs.range(bound..).next();
+        let before = self.runs.range(..bound).next_back();
         let distance = |at: MilliTime| at.since(deadline).max(deadline.since(at));
-        let nearest = after.into_iter().chain(before).min_by_key(|((at, _), _)| distance(*at))?;
-        let ((at, _), run) = nearest;
-        (distance(*at) <= DEADLINE_TOLERANCE).then_some(run)
+        let entries = after.into_iter().chain(before).map(|(entry, _)| *entry);
+        let nearest = entries.min_by_key(|entry| distance(entry.deadline))?;
+        (distance(nearest.deadline) <= DEADLINE_TOLERANCE).then_some(nearest)
     }
 
     /// Runs in flight.
--- a/src/sidecar/process/backend_door.rs
+++ b/src/sidecar/process/backend_door.rs
@@ -124,7 +124,7 @@
     fn drop(&mut self) {
         let now = self.door.clock.now();
         let mut state = self.door.lock();
-        state.runs.end(self.entry);
+        state.runs.end(&self.notes.context.request_id, self.entry);
         match self.failed {
             Some(failed) => {
                 let elapsed = (!failed).then(|| now.since(self.started));
@@ -190,9 +190,9 @@
         self.changed.subscribe()
     }
 
-    /// The run that made a call with this deadline.
-    pub(crate) fn parent(&self, deadline: MilliTime) -> Option<Arc<RunNotes>> {
-        self.lock().runs.parent(deadline).cloned()
+    /// The run that made a call with this id and deadline.
+    pub(crate) fn parent(&self, call_id: &str, deadline: MilliTime) -> Option<Arc<RunNotes>> {
+        self.lock().runs.parent(call_id, deadline).cloned()
     }
 
     /// Refuses waiting requests that cannot finish in time any more.
@@ -252,7 +252,7 @@
             costs: Mutex::default(),
             call_failed: AtomicBool::new(false),
         });
-        let entry = self.lock().runs.start(call.deadline, notes.clone());
+        let entry = self.lock().runs.start(&call.context.request_id, call.deadline, notes.clone());
         RunGuard { door: self, entry, notes, started: self.clock.now(), failed: None }
     }
 
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -94,9 +94,11 @@
         let service = self.call.context.service.clone();
         self.shared.retries.lock().expect("no holder panics").earn(&service);
         let mut refusals = 0;
+        let mut last_refusal = (NotRunCause::NoBackend, 0);
         loop {
             let Some(destination) = self.next_destination().await else {
-                return self.end_not_run(NotRunCause::NoBackend, 0);
+                let (cause, room_millis) = last_refusal;
+                return self.end_not_run(cause, room_millis);
             };
             let outcome = self.send(destination).await;
             match outcome {
@@ -108,6 +110,7 @@
                 }
                 CallOutcome::NotRun { cause, room_millis } => {
                     refusals += 1;
+                    last_refusal = (cause, room_millis);
                     let is_over = refusals >= REFUSALS_MAX || self.remaining().is_zero();
                     // A backend server that refuses was reached; another send draws on the budget.
                     let was_reached = cause == NotRunCause::BackendRefused;
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -252,7 +252,7 @@
     };
     trace.organisation = organisation.as_ref().map(|found| found.name.clone());
     let parent = match route.is_open {
-        true => shared.door.parent(trace.started + stated),
+        true => shared.door.parent(&trace.request, trace.started + stated),
         false => None,
     };
     let rank = match (&parent, &organisation) {
@@ -398,7 +398,7 @@
     if let Some(parent) = &admitted.parent {
         parent.call_ended(&dispatch.costs, succeeded);
     }
-    if admitted.rank.is_root && succeeded {
+    if admitted.rank.is_root && !dispatch.costs.is_empty() {
         let mut admission = shared.admission.lock().expect("no holder panics");
         admission.observe_cost(&root_group(admitted), &dispatch.costs);
     }
