--- a/src/policy/evidence.rs
+++ b/src/policy/evidence.rs
@@ -41,3 +41,18 @@
         self.age(now).is_some_and(|age| age < bound)
     }
 }
+
+/// The moment up to which a read of the store proves that everything written is known: an answer
+/// without records was given only after the whole wait, any other may be as old as its request.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::clock::MilliTime;
+/// use lentilway::policy::evidence::proven_at;
+/// let wait = Duration::from_secs(4);
+/// assert_eq!(proven_at(MilliTime(100), true, wait), MilliTime(4_100));
+/// assert_eq!(proven_at(MilliTime(100), false, wait), MilliTime(100));
+/// ```
+pub fn proven_at(asked: MilliTime, is_empty: bool, wait: Duration) -> MilliTime {
+    if is_empty { asked + wait } else { asked }
+}
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -48,6 +48,11 @@
 /// Share of the slots above which waiting is expected; backend servers slow down when nearly full.
 const BUSY_PART: f64 = 0.85;
 
+/// Slowdown of a server from empty to full.
+const FULLNESS_WEIGHT: f64 = 0.25;
+/// Cost of requests beyond the busy part: each delays those that come after it, too.
+const CROWDING_WEIGHT: f64 = 6.0;
+
 impl PlacementCandidate {
     /// The expected time to finish in milliseconds, with penalties; infinite without slots.
     ///
@@ -65,7 +70,7 @@
         let zone = if self.same_zone { 0.0 } else { ZONE_PENALTY.as_secs_f64() * 1_000.0 };
         let failed = f64::from(self.failed_permille.max(self.load.failed_permille)) / 1_000.0;
         let failure = failed * FAILURE_PENALTY.as_secs_f64() * 1_000.0;
-        service * (1.0 + 0.25 * fullness + 2.0 * crowding) + zone + failure
+        service * (1.0 + FULLNESS_WEIGHT * fullness + CROWDING_WEIGHT * crowding) + zone + failure
     }
 }
 
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -25,6 +25,8 @@
 /// A message between daemons.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
+    /// Who listens here; the first message on a link.
+    Hello { name: Arc<str>, service: Arc<str> },
     /// The sender lives.
     Alive,
     /// The load at the sender's backend server.
@@ -85,6 +87,8 @@
     Unreadable { source: postcard::Error },
     #[snafu(display("frame of {length} bytes"))]
     TooLong { length: usize },
+    #[snafu(display("another daemon listens there: {name} beside {service}"))]
+    Other { name: Arc<str>, service: Arc<str> },
     #[snafu(display("nothing heard in time"))]
     Silent,
 }
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -132,6 +132,11 @@
         tokio::select! {
             biased;
             message = reader.read() => match message {
+                Ok(PeerMessage::Hello { name, service })
+                    if name != peer.name || service != peer.service =>
+                {
+                    return LinkFault::Other { name, service };
+                }
                 Ok(message) => {
                     silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_MAX);
                     take_message(shared, peer, link, message);
@@ -163,7 +168,8 @@
             link.answer(*answer);
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
-        PeerMessage::Alive
+        PeerMessage::Hello { .. }
+        | PeerMessage::Alive
         | PeerMessage::Call(_)
         | PeerMessage::Cancel(_)
         | PeerMessage::WantTokens(_) => {}
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -52,6 +52,10 @@
     sender: mpsc::UnboundedSender<PeerMessage>,
 ) -> LinkFault {
     let mut calls = LinkCalls::default();
+    let (name, service) = (shared.settings.name.clone(), shared.settings.service.clone());
+    if sender.send(PeerMessage::Hello { name, service }).is_err() {
+        return LinkFault::Closed;
+    }
     let (ended_sender, mut ended) = mpsc::unbounded_channel();
     let mut changes = shared.door.subscribe();
     let mut alive = interval(ALIVE_INTERVAL);
@@ -82,7 +86,10 @@
                             return LinkFault::Closed;
                         }
                     }
-                    PeerMessage::Alive | PeerMessage::Load(_) | PeerMessage::Answer(_) => {}
+                    PeerMessage::Hello { .. }
+                    | PeerMessage::Alive
+                    | PeerMessage::Load(_)
+                    | PeerMessage::Answer(_) => {}
                 }
             }
             Some(number) = ended.recv() => {
--- a/src/sidecar/process/backend_door.rs
+++ b/src/sidecar/process/backend_door.rs
@@ -207,6 +207,10 @@
 
     /// Runs a request; the costs are those of the run and of the calls that it made.
     pub(crate) async fn run(&self, call: &DoorCall) -> (CallOutcome, CostList) {
+        // The sender may know an instance that is gone and whose address is used again.
+        if call.context.service != self.service {
+            return (refused(DoorRefusal::NoBackend), CostList::new());
+        }
         if let Err(refusal) = self.enter(call).await {
             return (refused(refusal), CostList::new());
         }
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -1,5 +1,6 @@
 //! The list of daemons in the platform's store.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use super::decision_log::LineWeight;
 use super::keyed_store::{StoreError, StoreRead, StoreTopic};
 use super::sidecar_shared::SidecarShared;
+use crate::policy::evidence::proven_at;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::sidecar::connection::peer_link::keep_link;
 
@@ -44,10 +46,11 @@
     problem: String,
 }
 
-/// Entries by their keys.
+/// What the records say, the newest of each name and of each address.
 #[derive(Debug, Default)]
 struct DirectoryView {
     entries: Vec<DirectoryEntry>,
+    positions: HashMap<Arc<str>, u64>,
 }
 
 impl DirectoryView {
@@ -58,13 +61,28 @@
                 continue;
             };
             match serde_json::from_slice::<DirectoryEntry>(value) {
-                Ok(entry) if *entry.name == *record.key => self.entries.push(entry),
+                Ok(entry) if *entry.name == *record.key => self.insert(entry, record.position),
                 Ok(_) => report_unreadable(shared, &record.key, "the name is not the key"),
                 Err(error) => report_unreadable(shared, &record.key, &error.to_string()),
             }
         }
     }
 
+    /// Adds an entry. An address is used by one instance at a time, so the newer record of two
+    /// with one address tells that the other instance is gone.
+    fn insert(&mut self, entry: DirectoryEntry, position: u64) {
+        let rival = self.entries.iter().position(|other| other.address == entry.address);
+        if let Some(index) = rival {
+            let other = &self.entries[index].name;
+            if self.positions.get(other).is_some_and(|known| *known > position) {
+                return;
+            }
+            self.entries.swap_remove(index);
+        }
+        self.positions.insert(entry.name.clone(), position);
+        self.entries.push(entry);
+    }
+
     fn own<'a>(&'a self, shared: &SidecarShared) -> Option<&'a DirectoryEntry> {
         self.entries.iter().find(|entry| entry.name == shared.settings.name)
     }
@@ -118,8 +136,7 @@
     loop {
         let asked = shared.clock.now();
         read = shared.store.changes(StoreTopic::Directory, read.cursor, CHANGES_WAIT).await?;
-        // An answer without records was given after the whole wait.
-        let proven = if read.records.is_empty() { asked + CHANGES_WAIT } else { asked };
+        let proven = proven_at(asked, read.records.is_empty(), CHANGES_WAIT);
         shared.quota.directory_read(proven, true);
         if !read.records.is_empty() {
             view.apply(shared, &read);
--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -21,6 +21,8 @@
     pub key: String,
     /// The value; `None` once the key was removed.
     pub value: Option<Vec<u8>>,
+    /// Rises with every record of the topic.
+    pub position: u64,
 }
 
 /// Records and the position up to which they were read.
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
-use crate::clock::MilliTime;
+use crate::policy::evidence::proven_at;
 use crate::sidecar::process::decision_log::LineWeight;
 use crate::sidecar::process::keyed_store::{StoreError, StoreRead, StoreTopic};
 use crate::sidecar::process::sidecar_shared::SidecarShared;
@@ -65,17 +65,12 @@
         };
         take_read(shared, &read);
         *cursor = Some(read.cursor);
-        shared.prove(proven_at(asked, &read, wait));
+        shared.prove(proven_at(asked, read.records.is_empty(), wait));
         shared.store_answered("configuration");
         wait = CHANGES_WAIT;
     }
 }
 
-/// An answer without records was given after the whole wait, and nothing was written before that.
-fn proven_at(asked: MilliTime, read: &StoreRead, wait: Duration) -> MilliTime {
-    if read.records.is_empty() { asked + wait } else { asked }
-}
-
 fn take_read(shared: &Arc<SidecarShared>, read: &StoreRead) {
     let key = shared.dialect.config_key();
     let newest = read.records.iter().rev().find(|record| record.key == key);
--- /dev/null
+++ b/tests/suite/platform.rs
@@ -0,0 +1,4 @@
+//! The adapter for the users' platform.
+
+mod boundary;
+mod records;
--- /dev/null
+++ b/tests/suite/platform/records.rs
@@ -0,0 +1,163 @@
+//! What the adapter reads: configurations, heartbeats, settings.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hyper::Method;
+use lentilway::platform::{PlatformDialect, parse_settings};
+use lentilway::sidecar::process::wire_dialect::{BackendAnnouncement, WireDialect};
+use serde_json::{Value, json};
+
+const HEARTBEAT_PATH: &str = "/api/instances/i-7f3a91c2";
+
+fn config() -> Value {
+    json!({"version": 7, "resources": [
+        {"entry_kind": "routes", "metadata": {"name": "r-1"}, "spec": {
+            "hostname": "hulo84.example", "path_prefix": "/leny950/", "kind": "safe",
+            "timeout_s": 1, "target_latency_s": 1.5, "priority": 2,
+            "traffic_split": [{"service": "huvo11a", "weight": 90},
+                {"service": "lovo22d", "weight": 10}],
+            "max_attempts": 2, "public": false}},
+        {"entry_kind": "routes", "metadata": {"name": "r-2"}, "spec": {
+            "hostname": "hulo84.example", "path_prefix": "/leny950/deep/", "kind": "unsafe",
+            "timeout_s": 1.2, "target_latency_s": 2, "priority": 0, "service": "wuno96b",
+            "max_attempts": 1, "public": true}},
+        {"entry_kind": "services", "metadata": {"name": "huvo11a"}, "spec": {
+            "health_path": "/healthz", "max_conns": 568, "protocol": "h1", "tls": false}},
+        {"entry_kind": "tenants", "metadata": {"name": "pulo780"}, "spec": {
+            "api_keys": ["one", "two"], "priority": 1, "rate_per_s": 97, "burst": 98}},
+        {"entry_kind": "limits", "metadata": {}, "spec": {
+            "max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_s": 3,
+            "idle_timeout_s": 15}}]})
+}
+
+fn heartbeat() -> Value {
+    json!({"address": "10.128.0.9:8080", "born": 1700000000000_u64,
+        "info": {"service": "huvo11a", "version": "v1", "zone": "wien-a", "slots": 78},
+        "status": {"phase": "ready", "sequence": 4, "cold_remaining_s": 0.5}})
+}
+
+fn announce(body: &Value) -> Option<BackendAnnouncement> {
+    let dialect = PlatformDialect::default();
+    let body = body.to_string();
+    dialect.announcement(&Method::PUT, HEARTBEAT_PATH, body.as_bytes())?.ok()
+}
+
+#[gtest]
+fn config_whole() -> googletest::Result<()> {
+    let dialect = PlatformDialect::default();
+    let config = dialect.config(config().to_string().as_bytes()).or_fail()?;
+    expect_that!(config.version, eq(7));
+    expect_that!(config.limits.body_bytes, eq(1000));
+    let split = config.route("hulo84.example", "/leny950/2f").or_fail()?;
+    expect_that!(split.is_idempotent, eq(true));
+    expect_that!(split.timeout, eq(Duration::from_secs(1)));
+    expect_that!(split.destinations.len(), eq(2));
+    expect_that!(split.destinations[0].weight, eq(90));
+    let deep = config.route("hulo84.example", "/leny950/deep/1").or_fail()?;
+    expect_that!(deep.is_idempotent, eq(false));
+    expect_that!(deep.is_open, eq(true));
+    expect_that!(deep.attempts_max, eq(1));
+    let organisation = config.key_owner("two").or_fail()?;
+    expect_that!(&*organisation.name, eq("pulo780"));
+    expect_that!(organisation.rate.or_fail()?.burst, eq(98.0));
+    Ok(())
+}
+
+#[gtest]
+fn config_unusable() {
+    let dialect = PlatformDialect::default();
+    let mut unknown_kind = config();
+    unknown_kind["resources"][0]["spec"]["kind"] = json!("other");
+    let mut negative = config();
+    negative["resources"][0]["spec"]["timeout_s"] = json!(-1);
+    let whole = config().to_string();
+    for text in [&unknown_kind.to_string(), &negative.to_string(), &whole[..whole.len() / 2]] {
+        expect_that!(dialect.config(text.as_bytes()), err(anything()), "{text}");
+    }
+}
+
+#[gtest]
+fn heartbeat_whole() {
+    let Some(BackendAnnouncement::Heartbeat(heartbeat)) = announce(&heartbeat()) else {
+        return expect_that!("a heartbeat", eq("not decoded"));
+    };
+    expect_that!(&*heartbeat.incarnation.id, eq("i-7f3a91c2"));
+    expect_that!(heartbeat.incarnation.born, eq(1_700_000_000_000));
+    expect_that!(heartbeat.number, eq(4));
+    expect_that!(heartbeat.slots, eq(78));
+    expect_that!(heartbeat.is_draining, eq(false));
+    expect_that!(heartbeat.cold_for, eq(Duration::from_millis(500)));
+}
+
+/// An entry of another writer names nobody.
+#[gtest]
+fn heartbeat_foreign() {
+    for (pointer, value) in [
+        ("/address", json!(7)),
+        ("/born", json!("yesterday")),
+        ("/info/service", json!(null)),
+        ("/info/slots", json!(-3)),
+        ("/status/phase", json!("resting")),
+        ("/status/sequence", json!("4")),
+        ("/status/cold_remaining_s", json!(-1)),
+    ] {
+        let mut foreign = heartbeat();
+        *foreign.pointer_mut(pointer).expect("the field exists") = value;
+        expect_that!(announce(&foreign), none(), "{pointer}");
+    }
+}
+
+#[gtest]
+fn announcement_leave() {
+    let dialect = PlatformDialect::default();
+    let leave = dialect.announcement(&Method::DELETE, HEARTBEAT_PATH, b"");
+    let expected = BackendAnnouncement::Leave { id: "i-7f3a91c2".into() };
+    expect_that!(leave, some(ok(eq(&expected))));
+    expect_that!(dialect.announcement(&Method::GET, "/other", b""), none());
+}
+
+const SETTINGS: &str = r#"
+[self]
+node_name = "sidecar-waw-a-1"
+zone = "waw-a"
+app_addr = "127.0.0.1:8547"
+service = "huvo11a"
+unknown = "ignored"
+[network]
+port_range = [7000,7015]
+[network.listen_addrs]
+inbound = "127.0.0.1:8543"
+outbound = "127.0.0.1:8548"
+ready = "127.0.0.1:8546"
+control = "127.0.0.1:8540"
+[platform]
+heartbeat_s = 1.5
+[platform.platform]
+address = "127.0.0.1:8545"
+[terms.bounds]
+revoke_s = 5
+grace_s = 6
+"#;
+
+#[gtest]
+fn settings_whole() -> googletest::Result<()> {
+    let settings = parse_settings(SETTINGS).or_fail()?;
+    expect_that!(&*settings.name, eq("sidecar-waw-a-1"));
+    expect_that!(settings.request_listen.port(), eq(8548));
+    expect_that!(settings.metrics_listen.port(), eq(7001));
+    expect_that!(settings.withdrawal_bound, eq(Duration::from_secs(5)));
+    Ok(())
+}
+
+#[gtest]
+fn settings_fault_names_field() {
+    for (field, text) in [
+        ("service", SETTINGS.replace("service =", "other =")),
+        ("outbound", SETTINGS.replace("127.0.0.1:8548", "nowhere")),
+        ("revoke_s", SETTINGS.replace("revoke_s = 5", "revoke_s = -5")),
+    ] {
+        let fault = parse_settings(&text).map_err(|fault| fault.to_string());
+        expect_that!(fault, err(contains_substring(field)));
+    }
+}
--- /dev/null
+++ b/tests/suite/policy.rs
@@ -0,0 +1,8 @@
+//! Decisions under load, replayed against recorded or modelled load.
+
+mod announcements;
+mod door;
+mod model;
+mod placement;
+mod roots;
+mod tokens;
--- /dev/null
+++ b/tests/suite/policy/door.rs
@@ -0,0 +1,142 @@
+//! Who starts, who waits and who is told that it cannot finish in time.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lentilway::clock::MilliTime;
+use lentilway::policy::door_queue::{
+    DoorQueue, DoorRefusal, DoorRequest, DoorVerdict, WaitOutcome, WaitTicket,
+};
+use lentilway::policy::request_rank::RequestRank;
+
+use super::model::{DeepService, EntryRule, RootKind};
+
+const SLOTS: usize = 4;
+/// The part of the slots that the door uses.
+const LIMIT: usize = 3;
+
+fn request(rank: RequestRank, due: u64, deadline: u64) -> DoorRequest {
+    DoorRequest { rank, due: MilliTime(due), deadline: MilliTime(deadline) }
+}
+
+/// A door at its limit whose runs take 50 ms.
+fn full_door() -> DoorQueue {
+    let mut door = DoorQueue::new(MilliTime(0));
+    door.set_slots(SLOTS);
+    for rank in [RequestRank::root(0), RequestRank::call(0)] {
+        for _ in 0..200 {
+            door.offer(MilliTime(0), request(rank, 9_000, 9_000));
+            door.finish(MilliTime(0), rank, Some(Duration::from_millis(50)), false);
+        }
+    }
+    for _ in 0..LIMIT {
+        let verdict = door.offer(MilliTime(0), request(RequestRank::call(0), 9_000, 9_000));
+        assert_eq!(verdict, DoorVerdict::Run);
+    }
+    door
+}
+
+fn wait(door: &mut DoorQueue, request: DoorRequest) -> WaitTicket {
+    match door.offer(MilliTime(0), request) {
+        DoorVerdict::Wait(ticket) => ticket,
+        other => panic!("expected to wait: {other:?}"),
+    }
+}
+
+fn free_slot(door: &mut DoorQueue, now: u64) -> Option<(WaitTicket, WaitOutcome)> {
+    door.finish(MilliTime(now), RequestRank::call(0), Some(Duration::from_millis(50)), false);
+    door.next(MilliTime(now))
+}
+
+#[gtest]
+fn offer_no_backend() {
+    let mut door = DoorQueue::new(MilliTime(0));
+    let verdict = door.offer(MilliTime(0), request(RequestRank::root(0), 100, 100));
+    expect_that!(verdict, eq(DoorVerdict::Refuse(DoorRefusal::NoBackend)));
+}
+
+#[gtest]
+fn offer_full_hopeless_refused_at_once() {
+    let mut door = full_door();
+    let verdict = door.offer(MilliTime(0), request(RequestRank::call(0), 20, 20));
+    expect_that!(verdict, matches_pattern!(DoorVerdict::Refuse(anything())));
+}
+
+/// A root that would only be late is refused; a call of a run under way is not.
+#[gtest]
+fn offer_full_late() {
+    let mut door = full_door();
+    let root = door.offer(MilliTime(0), request(RequestRank::root(0), 40, 2_000));
+    expect_that!(root, matches_pattern!(DoorVerdict::Refuse(anything())));
+    let call = door.offer(MilliTime(0), request(RequestRank::call(0), 40, 2_000));
+    expect_that!(call, matches_pattern!(DoorVerdict::Wait(anything())));
+}
+
+/// A short root is not starved by a standing queue of calls that have more time.
+#[gtest]
+fn next_short_root_before_calls() {
+    let mut door = full_door();
+    for _ in 0..10 {
+        wait(&mut door, request(RequestRank::call(0), 1_500, 4_500));
+    }
+    let root = wait(&mut door, request(RequestRank::root(0), 300, 1_200));
+    expect_that!(free_slot(&mut door, 1), eq(Some((root, WaitOutcome::Run))));
+}
+
+#[gtest]
+fn next_call_of_run_before_root_with_time() {
+    let mut door = full_door();
+    wait(&mut door, request(RequestRank::root(0), 1_500, 4_500));
+    let call = wait(&mut door, request(RequestRank::call(0), 1_500, 4_500));
+    expect_that!(free_slot(&mut door, 1), eq(Some((call, WaitOutcome::Run))));
+}
+
+#[gtest]
+fn next_limit_kept() {
+    let mut door = full_door();
+    wait(&mut door, request(RequestRank::call(0), 1_500, 4_500));
+    expect_that!(door.next(MilliTime(1)), none());
+}
+
+#[gtest]
+fn next_shut_refuses_all() {
+    let mut door = full_door();
+    let ticket = wait(&mut door, request(RequestRank::call(0), 1_500, 4_500));
+    door.set_slots(0);
+    let refused = WaitOutcome::Refuse(DoorRefusal::NoBackend);
+    expect_that!(door.next(MilliTime(1)), eq(Some((ticket, refused))));
+}
+
+#[gtest]
+fn take_hopeless_passed() {
+    let mut door = full_door();
+    let ticket = wait(&mut door, request(RequestRank::call(0), 200, 200));
+    expect_that!(door.take_hopeless(MilliTime(100)), is_empty());
+    expect_that!(door.take_hopeless(MilliTime(190)), eq(&vec![ticket]));
+}
+
+#[gtest]
+fn abandon_waiting() {
+    let mut door = full_door();
+    let ticket = wait(&mut door, request(RequestRank::call(0), 1_500, 4_500));
+    expect_that!(door.abandon(ticket), eq(true));
+    expect_that!(free_slot(&mut door, 1), none());
+}
+
+/// A server that hangs when it is full never gets more than the door's limit.
+#[gtest]
+fn replay_overload_limit_kept() {
+    let kind = RootKind {
+        name: "price",
+        priority: 1,
+        per_second: 900.0,
+        calls: 0,
+        work_ms: 96,
+        credit: 1.0,
+        due_ms: 300,
+        deadline_ms: 1_200,
+    };
+    let result = DeepService::new(&[kind], EntryRule::Open, 24, 3).run(5);
+    expect_that!(result.most_running, le(22));
+    expect_that!(result.served["price"], gt(0));
+}
