--- a/src/sidecar/process/quota_book.rs
+++ b/src/sidecar/process/quota_book.rs
@@ -153,6 +153,24 @@
         }
     }
 
+    /// What decided on a request, for its log line.
+    pub(crate) fn explain(&self, organisation: &FleetOrganisation) -> String {
+        let now = self.clock.now();
+        let state = self.lock();
+        let Some(known) = state.shares.get(&organisation.name) else {
+            return "no rate known".to_owned();
+        };
+        let terms = organisation.rate.unwrap_or(RateTerms { per_second: 0.0, burst: 0.0 });
+        format!(
+            "{:.2} tokens here of {}/s over {} daemons, minting {}, pool {}",
+            known.share.tokens(),
+            terms.per_second,
+            state.divisor(now),
+            state.mints(now),
+            if known.pool == self.own_key { "here" } else { "asked" },
+        )
+    }
+
     /// Hands back the token of a request that was refused for another reason.
     pub(crate) fn hand_back(&self, organisation: &FleetOrganisation) {
         let now = self.clock.now();
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -316,7 +316,8 @@
     if shared.quota.admit(shared, organisation).await {
         return Ok(());
     }
-    let refusal = RequestRefusal::new(ResultCode::RateExceeded, "");
+    let reason = shared.quota.explain(organisation);
+    let refusal = RequestRefusal::new(ResultCode::RateExceeded, reason);
     Err(refusal.retry_after(return_time(shared, admitted, None)))
 }
 
