--- a/src/policy/token_share.rs
+++ b/src/policy/token_share.rs
@@ -125,13 +125,13 @@
         self.mint(now);
         let reserve = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64();
         let wanted = reserve.max(1.0) - self.tokens;
-        (!self.is_pool && wanted >= SURPLUS_MIN).then_some(wanted)
+        (!self.is_pool && wanted > 0.0).then_some(wanted)
     }
 
     /// Tokens to ask the pool for ahead of expected demand.
     pub fn wanted_by_demand(&mut self, now: MilliTime) -> Option<f64> {
         let is_asked = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64() >= SURPLUS_MIN;
-        is_asked.then(|| self.wanted(now)).flatten()
+        is_asked.then(|| self.wanted(now)).flatten().filter(|wanted| *wanted >= SURPLUS_MIN)
     }
 
     /// Lends up to `wanted` tokens; they are gone from here.
--- a/src/sidecar/process/quota_book.rs
+++ b/src/sidecar/process/quota_book.rs
@@ -30,7 +30,8 @@
 struct OrganisationShare {
     share: TokenShare,
     pool: u64,
-    asked: Option<MilliTime>,
+    /// Requests that wait for tokens of the pool.
+    waiting: u32,
     dry_until: MilliTime,
 }
 
@@ -53,6 +54,19 @@
     received: Notify,
 }
 
+/// A request that waits for a token of the pool.
+struct TokenWait<'a> {
+    book: &'a QuotaBook,
+    organisation: &'a FleetOrganisation,
+    is_dry: bool,
+}
+
+impl Drop for TokenWait<'_> {
+    fn drop(&mut self) {
+        self.book.wait_ended(self.organisation, self.is_dry);
+    }
+}
+
 fn rendezvous(organisation: &str, member: u64) -> u64 {
     let mut hasher = Xxh3::with_seed(member);
     hasher.write(organisation.as_bytes());
@@ -116,7 +130,7 @@
                 known.or_insert_with(|| OrganisationShare {
                     share: TokenShare::new(now, terms),
                     pool: self.own_key,
-                    asked: None,
+                    waiting: 0,
                     dry_until: MilliTime(0),
                 });
             }
@@ -139,7 +153,14 @@
         let Some(pool) = pool else {
             return false;
         };
+        let mut wait = TokenWait { book: self, organisation, is_dry: false };
         self.ask(shared, pool, organisation);
+        let is_admitted = self.wait_token(organisation).await;
+        wait.is_dry = !is_admitted;
+        is_admitted
+    }
+
+    async fn wait_token(&self, organisation: &FleetOrganisation) -> bool {
         let deadline = Instant::now() + LOAN_WAIT;
         loop {
             let received = self.received.notified();
@@ -147,7 +168,6 @@
                 return true;
             }
             if timeout_at(deadline, received).await.is_err() {
-                self.note_dry(organisation);
                 return false;
             }
         }
@@ -233,10 +253,13 @@
         known.is_some_and(|known| known.share.retake(now))
     }
 
-    fn note_dry(&self, organisation: &FleetOrganisation) {
+    fn wait_ended(&self, organisation: &FleetOrganisation, is_dry: bool) {
         let now = self.clock.now();
         if let Some(known) = self.lock().shares.get_mut(&organisation.name) {
-            known.dry_until = now + DRY_SPAN;
+            known.waiting = known.waiting.saturating_sub(1);
+            if is_dry {
+                known.dry_until = now + DRY_SPAN;
+            }
         }
     }
 
@@ -247,11 +270,10 @@
             let Some(known) = state.shares.get_mut(&organisation.name) else {
                 return;
             };
-            if known.asked.is_some_and(|asked| now.since(asked) < LOAN_WAIT) {
-                return;
-            }
-            known.asked = Some(now);
-            known.share.wanted(now)
+            // Each waiting request needs a token of its own.
+            let others = f64::from(known.waiting);
+            known.waiting += 1;
+            known.share.wanted(now).map(|tokens| tokens + others)
         };
         let link = shared.peers.connected().into_iter().find(|peer| peer.key == pool);
         if let (Some(tokens), Some(link)) = (wanted, link.and_then(|peer| peer.link())) {
--- a/tests/suite/policy/tokens.rs
+++ b/tests/suite/policy/tokens.rs
@@ -134,6 +134,16 @@
     expect_that!(wanted, gt(3.0));
 }
 
+/// A request that lacks a small part of a token asks for it.
+#[gtest]
+fn wanted_part_of_a_token() {
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
+    share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
+    share.receive(MilliTime(0), 0.9);
+    expect_that!(share.take(MilliTime(1)), eq(false));
+    expect_that!(share.wanted(MilliTime(1)), some(gt(0.09)));
+}
+
 #[gtest]
 fn set_terms_lowered_clips() {
     let mut share = TokenShare::new(MilliTime(0), TERMS);
