--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -9,6 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::request_rank::RequestRank;
+
 /// What the daemon beside a backend server says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DoorLoad {
@@ -41,8 +43,26 @@
     pub failed_permille: u16,
 }
 
-/// Time by which another availability zone must be faster to be worth its traffic.
-pub const ZONE_PENALTY: Duration = Duration::from_millis(60);
+/// Time by which another availability zone must be faster to be worth its traffic, for a call of a
+/// run: a run makes many, and their delays add up.
+const CALL_ZONE_PENALTY: Duration = Duration::from_millis(60);
+/// The same for a root request, as a part of the time in which its answer is of full use.
+const ROOT_ZONE_PART: f64 = 0.2;
+
+/// Time by which another availability zone must be faster for a request that has `left` until it
+/// is late.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::policy::placement::zone_penalty;
+/// use lentilway::policy::request_rank::RequestRank;
+/// let left = Duration::from_secs(1);
+/// assert_eq!(zone_penalty(RequestRank::root(1), left), Duration::from_millis(200));
+/// assert!(zone_penalty(RequestRank::call(1), left) < Duration::from_millis(200));
+/// ```
+pub fn zone_penalty(rank: RequestRank, left: Duration) -> Duration {
+    if rank.is_root { left.mul_f64(ROOT_ZONE_PART) } else { CALL_ZONE_PENALTY }
+}
 /// What a certain failure costs, as time.
 const FAILURE_PENALTY: Duration = Duration::from_secs(4);
 /// Share of the slots above which waiting is expected; backend servers slow down when nearly full.
@@ -58,7 +78,7 @@
     ///
     /// A server of `s` slots with `n` requests finishes a new one after about `t * n / s` once it
     /// is full, and after `t` before.
-    pub fn expected_millis(&self) -> f64 {
+    pub fn expected_millis(&self, zone_penalty: Duration) -> f64 {
         if self.load.slots == 0 {
             return f64::INFINITY;
         }
@@ -67,7 +87,7 @@
         let requests = f64::from(self.load.running + self.load.waiting + newly_sent + 1);
         let fullness = requests / f64::from(self.load.slots);
         let crowding = (fullness - BUSY_PART).max(0.0) / BUSY_PART;
-        let zone = if self.same_zone { 0.0 } else { ZONE_PENALTY.as_secs_f64() * 1_000.0 };
+        let zone = if self.same_zone { 0.0 } else { zone_penalty.as_secs_f64() * 1_000.0 };
         let failed = f64::from(self.failed_permille.max(self.load.failed_permille)) / 1_000.0;
         let failure = failed * FAILURE_PENALTY.as_secs_f64() * 1_000.0;
         service * (1.0 + FULLNESS_WEIGHT * fullness + CROWDING_WEIGHT * crowding) + zone + failure
@@ -78,21 +98,23 @@
 /// equal knowledge from choosing alike.
 ///
 /// ```
+/// use std::time::Duration;
 /// use lentilway::policy::placement::{DoorLoad, PlacementCandidate, choose_instance};
 /// let load = DoorLoad { slots: 10, service_micros: 50_000, ..DoorLoad::default() };
 /// let idle = PlacementCandidate {
 ///     load, in_flight: 0, in_flight_at_report: 0, same_zone: true, failed_permille: 0,
 /// };
 /// let full = PlacementCandidate { load: DoorLoad { running: 30, ..load }, ..idle };
-/// assert_eq!(choose_instance(&[full, idle], || 0.5), Some(1));
+/// assert_eq!(choose_instance(&[full, idle], Duration::ZERO, || 0.5), Some(1));
 /// ```
 pub fn choose_instance(
     candidates: &[PlacementCandidate],
+    zone_penalty: Duration,
     mut draw: impl FnMut() -> f64,
 ) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        let cost = candidate.expected_millis() * (1.0 + JITTER * draw());
+        let cost = candidate.expected_millis(zone_penalty) * (1.0 + JITTER * draw());
         if cost.is_finite() && best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, index));
         }
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::frame::{FrameReader, LinkFault, PeerAnswer, PeerCall, PeerMessage, write_frames};
@@ -17,9 +17,13 @@
 
 /// Accepts links of other daemons until the task is aborted.
 pub(crate) async fn serve_peers(shared: Arc<SidecarShared>, listener: TcpListener) {
+    // The links end with this task.
+    let mut links = JoinSet::new();
     loop {
-        let stream = accept(&listener).await;
-        tokio::spawn(serve_link(shared.clone(), stream));
+        tokio::select! {
+            stream = accept(&listener) => drop(links.spawn(serve_link(shared.clone(), stream))),
+            Some(_) = links.join_next() => {}
+        }
     }
 }
 
--- a/src/sidecar/process/backend_door.rs
+++ b/src/sidecar/process/backend_door.rs
@@ -68,6 +68,8 @@
     waiters: HashMap<WaitTicket, oneshot::Sender<WaitOutcome>>,
     runs: RunBook<Arc<RunNotes>>,
     target: Option<BackendTarget>,
+    /// The daemon stops: the door stays shut.
+    is_closed: bool,
 }
 
 /// Admits requests to the backend server and exchanges them.
@@ -144,6 +146,7 @@
             waiters: HashMap::new(),
             runs: RunBook::default(),
             target: None,
+            is_closed: false,
         };
         let changed = watch::Sender::new(0);
         BackendDoor { clock, service, pool, state: Mutex::new(state), changed }
@@ -152,6 +155,9 @@
     /// Opens the door to a backend server.
     pub(crate) fn open(&self, target: BackendTarget, slots: usize) {
         let mut state = self.lock();
+        if state.is_closed {
+            return;
+        }
         let is_new = state.target.as_ref().is_none_or(|old| old.id != target.id);
         if is_new {
             self.pool.clear();
@@ -174,6 +180,12 @@
         self.announce_change();
     }
 
+    /// Shuts the door for good.
+    pub(crate) fn close(&self) {
+        self.lock().is_closed = true;
+        self.shut();
+    }
+
     /// The load now.
     pub(crate) fn load(&self) -> DoorLoad {
         let now = self.clock.now();
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -174,6 +174,16 @@
         state.by_service = by_service;
     }
 
+    /// Ends the links to all peers.
+    pub(crate) fn clear(&self) {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.by_service.clear();
+        for (_, (peer, task)) in state.peers.drain() {
+            task.abort();
+            peer.link_ended();
+        }
+    }
+
     /// The daemons beside backend servers of `service`.
     pub(crate) fn of_service(&self, service: &str) -> Vec<Arc<PeerEntry>> {
         let state = self.state.lock().expect("no holder panics");
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::backend_watch::{serve_announcement, watch_backend};
 use super::decision_log::{DecisionLog, LineWeight};
@@ -31,9 +31,15 @@
 /// Idle connections of callers are kept for this long: longer than callers keep them, so that none
 /// is closed while a request is on its way.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Part of the time to stop for which new requests are still taken: readiness is asked for once a
-/// second, and callers move away after two misses.
+/// Part of the time to stop after which the own backend server gets no new requests. Until then
+/// other daemons learn that there is less room here from nothing but refusals.
+const DOOR_OPEN_PART: f64 = 0.2;
+/// Part of the time to stop for which new connections of callers are taken: readiness is asked for
+/// once a second, and callers move away after two misses.
 const LINGER_PART: f64 = 0.4;
+/// Part of the time to stop after which runs that still go on do not keep callers connected.
+const RUNS_PART: f64 = 0.75;
+const RUNS_POLL: Duration = Duration::from_millis(20);
 /// Time kept back from the bound of a stop.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 const CLEANUP_MAX: Duration = Duration::from_millis(250);
@@ -43,6 +49,7 @@
     shared: Arc<SidecarShared>,
     callers: JoinHandle<()>,
     others: Vec<JoinHandle<()>>,
+    callers_end: StopSignal,
     end: StopSignal,
 }
 
@@ -75,7 +82,8 @@
         let clock = MilliClock::boottime();
         let shared = Arc::new(SidecarShared::new(settings, dialect, store, clock, log));
         let end = StopSignal::default();
-        let callers = start_callers(&shared, requests);
+        let callers_end = StopSignal::default();
+        let callers = start_callers(&shared, requests, &callers_end);
         let others = vec![
             tokio::spawn(serve_peers(shared.clone(), peers)),
             start_announcements(&shared, announcements, &end),
@@ -87,7 +95,7 @@
             tokio::spawn(exchange_tokens(shared.clone())),
         ];
         log_process(&shared, "started");
-        Ok(SidecarDaemon { shared, callers, others, end })
+        Ok(SidecarDaemon { shared, callers, others, callers_end, end })
     }
 
     /// Logs that the settings were read again.
@@ -95,18 +103,25 @@
         log_process(&self.shared, "reloaded");
     }
 
-    /// Stops without cutting a request, within the bound of the settings.
+    /// Stops without cutting a request, within the bound of the settings: callers are sent away,
+    /// then the backend server gets nothing new, then what runs ends, then connections close.
     pub async fn stop(mut self) {
-        let bound = self.shared.settings.stop_bound.saturating_sub(STOP_MARGIN);
-        let deadline = Instant::now() + bound;
+        let started = Instant::now();
+        let bound = self.shared.settings.stop_bound;
         log_process(&self.shared, "stopping");
         self.shared.stop.raise();
+        sleep_until(started + bound.mul_f64(DOOR_OPEN_PART)).await;
+        self.shared.door.close();
+        sleep_until(started + bound.mul_f64(LINGER_PART)).await;
+        // Runs make calls through the same listener as callers.
+        while self.shared.door.running() > 0 && started.elapsed() < bound.mul_f64(RUNS_PART) {
+            sleep(RUNS_POLL).await;
+        }
+        self.callers_end.raise();
+        let deadline = started + bound.saturating_sub(STOP_MARGIN);
         if timeout_at(deadline, &mut self.callers).await.is_err() {
             self.callers.abort();
         }
-        while self.shared.door.running() > 0 && Instant::now() < deadline {
-            sleep(Duration::from_millis(20)).await;
-        }
         self.leave_directory().await;
         self.end.raise();
         self.others.iter().for_each(JoinHandle::abort);
@@ -114,6 +129,16 @@
         self.shared.log.close();
     }
 
+    /// Ends every task at once, as a loss of power would.
+    pub async fn abort(self) {
+        for task in std::iter::once(self.callers).chain(self.others) {
+            task.abort();
+            // The task was aborted: its end carries nothing.
+            let _ = task.await;
+        }
+        self.shared.peers.clear();
+    }
+
     /// An instance whose backend server left is not coming back.
     async fn leave_directory(&self) {
         if !self.shared.backend.has_left() {
@@ -138,14 +163,17 @@
     shared.log.write(LineWeight::Change, event, &line);
 }
 
-fn start_callers(shared: &Arc<SidecarShared>, listener: TcpListener) -> JoinHandle<()> {
-    let linger = shared.settings.stop_bound.mul_f64(LINGER_PART);
-    let times = ConnectionTimes { head_timeout: IDLE_TIMEOUT, linger };
+fn start_callers(
+    shared: &Arc<SidecarShared>,
+    listener: TcpListener,
+    end: &StopSignal,
+) -> JoinHandle<()> {
     let state = shared.clone();
     let handler = move |request| serve_request(state.clone(), request);
-    tokio::spawn(serve_http(listener, shared.stop.clone(), times, handler))
+    tokio::spawn(serve_http(listener, end.clone(), control_times(), handler))
 }
 
+/// Times of a listener that ends only when everything else has.
 fn control_times() -> ConnectionTimes {
     ConnectionTimes { head_timeout: IDLE_TIMEOUT, linger: Duration::ZERO }
 }
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::context::{BackendAnswer, CallOutcome, NotRunCause, UnknownCause};
-use crate::policy::placement::{PlacementCandidate, choose_instance};
+use crate::policy::placement::{PlacementCandidate, choose_instance, zone_penalty};
 use crate::policy::root_admission::CostList;
 use crate::sidecar::connection::frame::PeerCall;
 use crate::sidecar::process::backend_door::DoorCall;
@@ -187,7 +187,9 @@
             }
         }
         let mut random = rand::rng();
-        let index = choose_instance(&candidates, || random.random::<f64>())?;
+        let left = self.call.due.until(self.shared.clock.now());
+        let penalty = zone_penalty(self.call.context.rank, left);
+        let index = choose_instance(&candidates, penalty, || random.random::<f64>())?;
         Some(destinations.swap_remove(index))
     }
 
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderMap, HeaderName};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use rand::Rng;
 use serde::Serialize;
@@ -155,7 +155,7 @@
     let id_header = &shared.dialect.headers().request_id;
     let id = request.headers().get(id_header).and_then(|id| id.to_str().ok()).unwrap_or("");
     let mut trace = RequestTrace::new(&shared, id.into());
-    match handle(&shared, request, &mut trace).await {
+    let mut response = match handle(&shared, request, &mut trace).await {
         Ok(answer) => {
             let outcome = if answer.is_success() { "served" } else { "answered" };
             trace.end(outcome, Some(answer.status), None);
@@ -165,7 +165,11 @@
             trace.end(refusal.code.execution().name(), None, Some(&refusal));
             refusal_response(&refusal)
         }
+    };
+    if shared.stop.is_raised() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 /// A request whose route and caller are known.
@@ -217,7 +221,10 @@
     };
     let due = match &admitted.parent {
         Some(parent) => parent.due,
-        None => trace.started + admitted.route.target_latency,
+        None => {
+            let target = admitted.route.target_latency.min(admitted.route.timeout);
+            trace.started + target
+        }
     };
     let call = DoorCall {
         context,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,6 +17,7 @@
 mod rates;
 mod session;
 mod settings;
+mod sidecar;
 mod ticket_command;
 mod ticket_decoders;
 mod ticket_evidence;
--- a/tests/suite/policy/placement.rs
+++ b/tests/suite/policy/placement.rs
@@ -1,5 +1,7 @@
 //! Where requests go.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use lentilway::clock::MilliTime;
 use lentilway::policy::load_average::FailurePart;
@@ -9,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 const SLOTS: u32 = 24;
+const ZONE_PENALTY: Duration = Duration::from_millis(60);
 
 fn candidate(running: u32, service_ms: u32, same_zone: bool) -> PlacementCandidate {
     let load = DoorLoad {
@@ -21,7 +24,7 @@
 }
 
 fn choose(candidates: &[PlacementCandidate]) -> Option<usize> {
-    choose_instance(candidates, || 0.5)
+    choose_instance(candidates, ZONE_PENALTY, || 0.5)
 }
 
 #[gtest]
@@ -71,7 +74,8 @@
             .zip(&ends)
             .map(|(speed, ends)| candidate(ends.len() as u32, (30.0 / speed) as u32, true))
             .collect();
-        let chosen = choose_instance(&candidates, || random.random()).expect("all are open");
+        let chosen =
+            choose_instance(&candidates, ZONE_PENALTY, || random.random()).expect("all are open");
         placed[chosen] += 1;
         ends[chosen].push(now + 0.030 / speeds[chosen]);
     }
--- /dev/null
+++ b/tests/suite/sidecar/fleet.rs
@@ -0,0 +1,352 @@
+//! A fleet of sidecar daemons in one process, on loopback.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use lentilway::clock::MilliClock;
+use lentilway::platform::PlatformDialect;
+use lentilway::sidecar::process::decision_log::DecisionLog;
+use lentilway::sidecar::process::keyed_store::{
+    KeyedStore, StoreError, StoreRead, StoreRecord, StoreTopic,
+};
+use lentilway::sidecar::process::settings::SidecarSettings;
+use lentilway::sidecar::process::sidecar_daemon::SidecarDaemon;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+
+pub(super) const HOST: &str = "shop.example";
+pub(super) const KEY: &str = "a-key";
+pub(super) const WITHDRAWN_KEY: &str = "another-key";
+const PATIENCE: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(10);
+
+/// A store in memory that can be cut off.
+#[derive(Default)]
+pub(super) struct MemoryStore {
+    records: Mutex<Vec<(StoreTopic, StoreRecord)>>,
+    written: Notify,
+    is_down: Mutex<bool>,
+}
+
+impl MemoryStore {
+    pub(super) fn set_down(&self, is_down: bool) {
+        *self.is_down.lock().unwrap() = is_down;
+        self.written.notify_waiters();
+    }
+
+    pub(super) fn write(&self, topic: StoreTopic, key: &str, value: Option<Vec<u8>>) {
+        let mut records = self.records.lock().unwrap();
+        let position = records.iter().filter(|(other, _)| *other == topic).count() as u64;
+        records.push((topic, StoreRecord { key: key.to_owned(), value, position }));
+        drop(records);
+        self.written.notify_waiters();
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        match *self.is_down.lock().unwrap() {
+            true => Err(StoreError::Refused { status: 503 }),
+            false => Ok(()),
+        }
+    }
+
+    fn read(&self, topic: StoreTopic, from: u64) -> StoreRead {
+        let records = self.records.lock().unwrap();
+        let of_topic = records.iter().filter(|(other, _)| *other == topic);
+        let all: Vec<StoreRecord> = of_topic.map(|(_, record)| record.clone()).collect();
+        let cursor = all.len() as u64;
+        let records = all.into_iter().skip(from as usize).collect();
+        StoreRead { records, cursor }
+    }
+}
+
+#[async_trait]
+impl KeyedStore for MemoryStore {
+    async fn snapshot(&self, topic: StoreTopic) -> Result<StoreRead, StoreError> {
+        self.check()?;
+        let mut read = self.read(topic, 0);
+        let mut newest = BTreeMap::new();
+        for record in read.records {
+            newest.insert(record.key.clone(), record);
+        }
+        read.records = newest.into_values().filter(|record| record.value.is_some()).collect();
+        Ok(read)
+    }
+
+    async fn changes(
+        &self,
+        topic: StoreTopic,
+        cursor: u64,
+        wait: Duration,
+    ) -> Result<StoreRead, StoreError> {
+        let end = Instant::now() + wait;
+        loop {
+            let written = self.written.notified();
+            self.check()?;
+            let read = self.read(topic, cursor);
+            if !read.records.is_empty() || Instant::now() >= end {
+                return Ok(read);
+            }
+            let _ = timeout(end - Instant::now(), written).await;
+        }
+    }
+
+    async fn put(
+        &self,
+        topic: StoreTopic,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Result<(), StoreError> {
+        self.check()?;
+        self.write(topic, key, value.map(<[u8]>::to_vec));
+        Ok(())
+    }
+}
+
+/// How a backend server treats requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BackendManner {
+    /// It answers after a while.
+    Answers(Duration),
+    /// It answers with the id of another request.
+    Crosses,
+    /// It answers without proof that it made the answer.
+    Unsigned,
+    /// It reads the request and closes the connection.
+    Breaks,
+    /// It says that it did not run the request.
+    Sheds,
+}
+
+/// A backend server that counts what reaches it.
+pub(super) struct TestBackend {
+    pub(super) address: SocketAddr,
+    pub(super) arrivals: Arc<AtomicUsize>,
+    manner: Arc<Mutex<BackendManner>>,
+}
+
+impl TestBackend {
+    pub(super) async fn start(manner: BackendManner) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let arrivals = Arc::new(AtomicUsize::new(0));
+        let manner = Arc::new(Mutex::new(manner));
+        let (counted, asked) = (arrivals.clone(), manner.clone());
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let (counted, asked) = (counted.clone(), asked.clone());
+                let service = service_fn(move |request| {
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    answer(request, *asked.lock().unwrap())
+                });
+                let server = hyper::server::conn::http1::Builder::new();
+                tokio::spawn(server.serve_connection(TokioIo::new(stream), service));
+            }
+        });
+        TestBackend { address, arrivals, manner }
+    }
+
+    pub(super) fn set_manner(&self, manner: BackendManner) {
+        *self.manner.lock().unwrap() = manner;
+    }
+
+    pub(super) fn arrivals(&self) -> usize {
+        self.arrivals.load(Ordering::SeqCst)
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    manner: BackendManner,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let id = request.headers().get("x-lentilway-attempt-id").cloned().unwrap();
+    let leaks_key = request.headers().contains_key("authorization");
+    let organisation = request.headers().get("x-lentilway-tenant-id").cloned();
+    request.into_body().collect().await.map_err(std::io::Error::other)?;
+    let mut response = Response::new(Full::new(Bytes::from_static(b"whole")));
+    let headers = response.headers_mut();
+    headers.insert("x-lentilway-attempt-id", id);
+    headers.insert("x-lentilway-server-signature", "signed".parse().unwrap());
+    headers.insert("x-leaked", leaks_key.to_string().parse().unwrap());
+    if let Some(name) = organisation {
+        headers.insert("x-organisation", name);
+    }
+    match manner {
+        BackendManner::Answers(after) => sleep(after).await,
+        BackendManner::Crosses => {
+            headers.insert("x-lentilway-attempt-id", "another".parse().unwrap());
+        }
+        BackendManner::Unsigned => drop(headers.remove("x-lentilway-server-signature")),
+        BackendManner::Breaks => return Err(std::io::Error::other("broken off")),
+        BackendManner::Sheds => {
+            headers.insert("x-lentilway-not-executed", "1".parse().unwrap());
+            *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+        }
+    }
+    Ok(response)
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(super) struct CallerAnswer {
+    pub(super) status: u16,
+    pub(super) headers: hyper::HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// A daemon of the fleet.
+pub(super) struct TestDaemon {
+    pub(super) daemon: SidecarDaemon,
+    pub(super) settings: SidecarSettings,
+    pub(super) backend: TestBackend,
+}
+
+/// Daemons that share a store.
+pub(super) struct TestFleet {
+    pub(super) store: Arc<MemoryStore>,
+    pub(super) client: Client<HttpConnector, Full<Bytes>>,
+    next_id: AtomicUsize,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn route(name: &str, kind: &str, service: &str, is_open: bool) -> serde_json::Value {
+    json!({"entry_kind": "routes", "metadata": {"name": name}, "spec": {
+        "hostname": HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_s": 3,
+        "target_latency_s": 2, "priority": 1, "service": service, "max_attempts": 2,
+        "public": is_open}})
+}
+
+/// A configuration in which [`WITHDRAWN_KEY`] works or does not.
+pub(super) fn config(version: u64, has_second_key: bool) -> Vec<u8> {
+    let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
+    json!({"version": version, "resources": [
+        route("read", "safe", "stock", false),
+        route("write", "unsafe", "stock", false),
+        route("open", "safe", "stock", true),
+        {"entry_kind": "tenants", "metadata": {"name": "nord"}, "spec": {"api_keys": keys}},
+    ]})
+    .to_string()
+    .into_bytes()
+}
+
+impl TestFleet {
+    pub(super) fn new() -> Self {
+        let store = Arc::new(MemoryStore::default());
+        store.write(StoreTopic::Configuration, "config", Some(config(1, true)));
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        TestFleet { store, client, next_id: AtomicUsize::new(0) }
+    }
+
+    /// Starts a daemon with a backend server that has announced itself.
+    pub(super) async fn start(&self, name: &str, service: &str) -> TestDaemon {
+        let backend = TestBackend::start(BackendManner::Answers(Duration::from_millis(1))).await;
+        let daemon = self.start_with(name, service, backend, free_address()).await;
+        self.announce(&daemon, 1, false).await;
+        daemon
+    }
+
+    pub(super) async fn start_with(
+        &self,
+        name: &str,
+        service: &str,
+        backend: TestBackend,
+        peer_listen: SocketAddr,
+    ) -> TestDaemon {
+        let settings = SidecarSettings {
+            name: name.into(),
+            availability_zone: "zone".into(),
+            service: service.into(),
+            backend_address: backend.address,
+            request_listen: free_address(),
+            peer_listen,
+            announce_listen: free_address(),
+            ready_listen: free_address(),
+            metrics_listen: free_address(),
+            store_address: free_address(),
+            withdrawal_bound: Duration::from_secs(5),
+            stop_bound: Duration::from_secs(3),
+        };
+        let log = DecisionLog::new(MilliClock::monotonic(), Box::new(std::io::sink()));
+        let dialect = Arc::new(PlatformDialect::default());
+        let started =
+            SidecarDaemon::start(settings.clone(), dialect, self.store.clone(), log).await;
+        let daemon = started.unwrap_or_else(|error| panic!("{error}"));
+        TestDaemon { daemon, settings, backend }
+    }
+
+    /// Announces the backend server of a daemon; the number must rise.
+    pub(super) async fn announce(&self, daemon: &TestDaemon, number: u64, is_draining: bool) {
+        let phase = if is_draining { "draining" } else { "ready" };
+        let body = json!({"address": daemon.backend.address.to_string(), "born": 1,
+            "info": {"service": *daemon.settings.service, "version": "v1", "zone": "zone",
+                "slots": 8},
+            "status": {"phase": phase, "sequence": number, "cold_remaining_s": 0}});
+        let address = daemon.settings.announce_listen;
+        let uri = format!("http://{address}/api/instances/i-{}", daemon.settings.name);
+        let request = Request::put(uri).body(Full::new(body.to_string().into())).unwrap();
+        let answer = self.client.request(request).await.unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+
+    /// Sends a request through a daemon with a new id.
+    pub(super) async fn send(&self, daemon: &TestDaemon, path: &str, key: &str) -> CallerAnswer {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let uri = format!("http://{}{path}", daemon.settings.request_listen);
+        let request = Request::get(uri)
+            .header("host", HOST)
+            .header("x-lentilway-attempt-id", format!("request-{id}"))
+            .header("x-lentilway-deadline-ms", "2000")
+            .header("x-lentilway-tenant-id", "forged")
+            .header("authorization", format!("Bearer {key}"))
+            .body(Full::default());
+        let answer = self.client.request(request.unwrap()).await.unwrap();
+        let (parts, body) = answer.into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        CallerAnswer { status: parts.status.as_u16(), headers: parts.headers, body }
+    }
+
+    /// Sends requests until one gets `status`.
+    pub(super) async fn until(&self, daemon: &TestDaemon, path: &str, key: &str, status: u16) {
+        let asked = async {
+            while self.send(daemon, path, key).await.status != status {
+                sleep(POLL).await;
+            }
+        };
+        timeout(PATIENCE, asked).await.expect("the status comes in time");
+    }
+
+    /// The status of a readiness question.
+    pub(super) async fn ready(&self, daemon: &TestDaemon) -> u16 {
+        let uri = format!("http://{}/api/readyz", daemon.settings.ready_listen);
+        let request = Request::get(uri).body(Full::default()).unwrap();
+        self.client.request(request).await.unwrap().status().as_u16()
+    }
+}
+
+/// Waits until `condition` holds.
+pub(super) async fn wait_until(condition: impl Fn() -> bool) {
+    let waited = async {
+        while !condition() {
+            sleep(POLL).await;
+        }
+    };
+    timeout(PATIENCE, waited).await.expect("the condition holds in time");
+}
--- /dev/null
+++ b/tests/suite/sidecar/stops.rs
@@ -0,0 +1,80 @@
+//! Backend servers that leave and daemons that stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::fleet::{BackendManner, KEY, TestFleet, wait_until};
+
+const RUN: Duration = Duration::from_millis(700);
+
+/// After a draining announcement was acknowledged, nothing reaches the backend server.
+#[gtest]
+#[tokio::test]
+async fn draining_gets_nothing_new() {
+    let fleet = TestFleet::new();
+    let leaving = fleet.start("one", "stock").await;
+    let staying = fleet.start("two", "stock").await;
+    let entry = fleet.start("three", "prices").await;
+    fleet.until(&entry, "/read/1", KEY, 200).await;
+    wait_until(|| leaving.backend.arrivals() + staying.backend.arrivals() > 0).await;
+    fleet.announce(&leaving, 2, true).await;
+    let before = leaving.backend.arrivals();
+    for _ in 0..50 {
+        expect_that!(fleet.send(&entry, "/read/1", KEY).await.status, eq(200));
+    }
+    expect_that!(leaving.backend.arrivals(), eq(before));
+    // A late announcement from before the leave does not bring it back.
+    fleet.announce(&leaving, 1, false).await;
+    fleet.send(&leaving, "/read/1", KEY).await;
+    expect_that!(leaving.backend.arrivals(), eq(before));
+}
+
+/// A daemon that stops is asked by others until its last moment; none of their calls is cut.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_cuts_no_call() {
+    let fleet = Arc::new(TestFleet::new());
+    let stopping = fleet.start("one", "stock").await;
+    let entry = Arc::new(fleet.start("two", "prices").await);
+    fleet.until(&entry, "/write/1", KEY, 200).await;
+    stopping.backend.set_manner(BackendManner::Answers(RUN));
+    let mut callers = tokio::task::JoinSet::new();
+    for _ in 0..8 {
+        let (fleet, entry) = (fleet.clone(), entry.clone());
+        callers.spawn(async move {
+            let mut statuses = Vec::new();
+            for _ in 0..5 {
+                statuses.push(fleet.send(&entry, "/write/1", KEY).await.status);
+            }
+            statuses
+        });
+    }
+    let arrivals = stopping.backend.arrivals();
+    wait_until(|| stopping.backend.arrivals() > arrivals).await;
+    stopping.daemon.stop().await;
+    let statuses: Vec<u16> = callers.join_all().await.concat();
+    // Answered, or refused as not run once the door was shut; never left open.
+    expect_that!(statuses, each(any![eq(&200), eq(&503)]));
+    expect_that!(statuses, contains(eq(&200)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn stop_ends_readiness() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    expect_that!(fleet.ready(&daemon).await, eq(200));
+    let ready = daemon.settings.ready_listen;
+    let stop = tokio::spawn(daemon.daemon.stop());
+    let uri = format!("http://{ready}/api/readyz");
+    let ask = || hyper::Request::get(&uri).body(http_body_util::Full::default()).unwrap();
+    let mut status = 200;
+    while status == 200 {
+        status = fleet.client.request(ask()).await.unwrap().status().as_u16();
+    }
+    expect_that!(status, eq(503));
+    stop.await.unwrap();
+}
--- /dev/null
+++ b/tests/suite/sidecar/truth.rs
@@ -0,0 +1,88 @@
+//! What callers are told is true.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+
+use super::fleet::{BackendManner, KEY, TestFleet};
+
+/// A request that may not be repeated reaches one backend server once, however that fails.
+#[gtest]
+#[tokio::test]
+async fn write_sent_once() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/write/1", KEY, 200).await;
+    for manner in [BackendManner::Breaks, BackendManner::Crosses, BackendManner::Unsigned] {
+        daemon.backend.set_manner(manner);
+        let before = daemon.backend.arrivals();
+        let answer = fleet.send(&daemon, "/write/1", KEY).await;
+        expect_that!(answer.status, eq(502), "{manner:?}");
+        expect_that!(answer.headers["lentilway-execution"], eq("may-have-run"));
+        expect_that!(daemon.backend.arrivals() - before, eq(1), "{manner:?}");
+    }
+}
+
+/// A refusal says "not run" only on the backend server's own word.
+#[gtest]
+#[tokio::test]
+async fn write_shed() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/write/1", KEY, 200).await;
+    daemon.backend.set_manner(BackendManner::Sheds);
+    let answer = fleet.send(&daemon, "/write/1", KEY).await;
+    expect_that!(answer.status, eq(503));
+    expect_that!(answer.headers["lentilway-execution"], eq("not-run"));
+    expect_that!(answer.headers.contains_key("retry-after"), eq(true));
+}
+
+/// Sends after a backend server's refusal draw on the retry budget.
+#[gtest]
+#[tokio::test]
+async fn read_shed_everywhere_bounded() {
+    let fleet = TestFleet::new();
+    let one = fleet.start("one", "stock").await;
+    let two = fleet.start("two", "stock").await;
+    let entry = fleet.start("three", "prices").await;
+    fleet.until(&entry, "/read/1", KEY, 200).await;
+    one.backend.set_manner(BackendManner::Sheds);
+    two.backend.set_manner(BackendManner::Sheds);
+    let before = one.backend.arrivals() + two.backend.arrivals();
+    let requests = 100;
+    for _ in 0..requests {
+        expect_that!(fleet.send(&entry, "/read/1", KEY).await.status, eq(503));
+    }
+    let arrivals = one.backend.arrivals() + two.backend.arrivals() - before;
+    // The fleet's bound is 0.2 of the requests and what each daemon may save up.
+    expect_that!(arrivals, le(requests + requests / 5 + 2));
+}
+
+/// A spoiled answer to a request that may be repeated is replaced by a whole one.
+#[gtest]
+#[tokio::test]
+async fn read_spoiled_sent_again() {
+    let fleet = TestFleet::new();
+    let one = fleet.start("one", "stock").await;
+    let two = fleet.start("two", "stock").await;
+    let entry = fleet.start("three", "prices").await;
+    fleet.until(&entry, "/read/1", KEY, 200).await;
+    one.backend.set_manner(BackendManner::Unsigned);
+    two.backend.set_manner(BackendManner::Answers(Duration::from_millis(1)));
+    let answer = fleet.send(&entry, "/read/1", KEY).await;
+    expect_that!(answer.status, eq(200));
+    expect_that!(&answer.body[..], eq(b"whole"));
+}
+
+/// A request that is given up at the time-out of its route gets its final answer then.
+#[gtest]
+#[tokio::test]
+async fn write_timeout() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/write/1", KEY, 200).await;
+    daemon.backend.set_manner(BackendManner::Answers(Duration::from_secs(60)));
+    let answer = fleet.send(&daemon, "/write/1", KEY).await;
+    expect_that!(answer.status, eq(504));
+    expect_that!(answer.headers["lentilway-execution"], eq("may-have-run"));
+}
