--- a/src/clock.rs
+++ b/src/clock.rs
@@ -28,6 +28,18 @@
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
 
+    /// The point `span` earlier, at the earliest the origin.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use std::time::Duration;
+    /// assert_eq!(MilliTime(70).before(Duration::from_millis(20)), MilliTime(50));
+    /// ```
+    pub fn before(self, span: Duration) -> MilliTime {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        MilliTime(self.0.saturating_sub(millis))
+    }
+
     /// The time left until this point, zero once it has passed.
     pub fn until(self, now: MilliTime) -> Duration {
         self.since(now)
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -37,6 +37,13 @@
     Answer(Box<PeerAnswer>),
     /// Nobody waits for this call any more.
     Cancel(u64),
+    /// How new is what you know of the store?
+    AskProof {
+        /// Comes back with the answer.
+        number: u64,
+    },
+    /// How new the sender's knowledge of the store is; without a number it only tells of a change.
+    Proof { number: Option<u64>, configuration: Option<TopicProof>, directory: Option<TopicProof> },
     /// Tokens that the receiver owns from now on.
     Tokens(Vec<TokenAmount>),
     /// Tokens that the sender would like to have.
@@ -69,6 +76,13 @@
     pub(crate) load: DoorLoad,
 }
 
+/// Everything written to a topic before `age_millis` ago stands before `cursor`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct TopicProof {
+    pub(crate) cursor: u64,
+    pub(crate) age_millis: u32,
+}
+
 /// Tokens of an organisation's rate.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TokenAmount {
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -10,6 +10,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use super::frame::{FrameReader, LinkFault, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use crate::clock::MilliTime;
 use crate::sidecar::process::peer_table::PeerEntry;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 
@@ -28,6 +29,8 @@
     sender: mpsc::UnboundedSender<PeerMessage>,
     pending: Mutex<HashMap<u64, oneshot::Sender<PeerAnswer>>>,
     next_number: AtomicU64,
+    /// The last question for proof and when it was asked.
+    asked: Mutex<Option<(u64, MilliTime)>>,
 }
 
 /// Tells the other daemon that nobody waits for the call any more, unless it was answered.
@@ -47,7 +50,12 @@
 
 impl PeerLink {
     fn new(sender: mpsc::UnboundedSender<PeerMessage>) -> Self {
-        PeerLink { sender, pending: Mutex::default(), next_number: AtomicU64::new(0) }
+        PeerLink {
+            sender,
+            pending: Mutex::default(),
+            next_number: AtomicU64::new(0),
+            asked: Mutex::default(),
+        }
     }
 
     /// Queues a message; one for a link that has ended is dropped with it.
@@ -68,6 +76,19 @@
         receiver.await.ok()
     }
 
+    /// Asks how new the other daemon's knowledge of the store is.
+    pub(crate) fn ask_proof(&self, now: MilliTime) {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        *self.asked.lock().expect("no holder panics") = Some((number, now));
+        self.send(PeerMessage::AskProof { number });
+    }
+
+    /// When the question with this number was asked, if it is the last one.
+    fn asked_at(&self, number: Option<u64>) -> Option<MilliTime> {
+        let asked = self.asked.lock().expect("no holder panics");
+        asked.filter(|(last, _)| Some(*last) == number).map(|(_, at)| at)
+    }
+
     fn answer(&self, answer: PeerAnswer) {
         let waiting = self.pending.lock().expect("no holder panics").remove(&answer.number);
         if let Some(waiting) = waiting {
@@ -168,7 +189,11 @@
             link.answer(*answer);
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
-        PeerMessage::Hello { .. }
+        PeerMessage::Proof { number, configuration, directory } => {
+            shared.take_proof(link.asked_at(number), configuration, directory);
+        }
+        PeerMessage::AskProof { .. }
+        | PeerMessage::Hello { .. }
         | PeerMessage::Alive
         | PeerMessage::Call(_)
         | PeerMessage::Cancel(_)
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -62,6 +62,7 @@
     }
     let (ended_sender, mut ended) = mpsc::unbounded_channel();
     let mut changes = shared.door.subscribe();
+    let mut news = shared.view.subscribe();
     let mut alive = interval(ALIVE_INTERVAL);
     alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut silence = std::pin::pin!(sleep(SILENCE_MAX));
@@ -90,7 +91,13 @@
                             return LinkFault::Closed;
                         }
                     }
+                    PeerMessage::AskProof { number } => {
+                        if sender.send(shared.store_proof(Some(number))).is_err() {
+                            return LinkFault::Closed;
+                        }
+                    }
                     PeerMessage::Hello { .. }
+                    | PeerMessage::Proof { .. }
                     | PeerMessage::Alive
                     | PeerMessage::Load(_)
                     | PeerMessage::Answer(_) => {}
@@ -99,6 +106,11 @@
             Some(number) = ended.recv() => {
                 calls.running.remove(&number);
             }
+            _ = news.changed() => {
+                if sender.send(shared.store_proof(None)).is_err() {
+                    return LinkFault::Closed;
+                }
+            }
             _ = changes.changed() => {
                 if sender.send(PeerMessage::Load(shared.door.load())).is_err() {
                     return LinkFault::Closed;
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -14,10 +14,17 @@
 use crate::policy::evidence::proven_at;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::sidecar::connection::peer_link::keep_link;
+use crate::sidecar::version::config_watch::{ReadTerms, wait_turn};
 
 /// How long one read waits for changes: daemons rarely come and go, and each read has a price.
 const CHANGES_WAIT: Duration = Duration::from_secs(4);
-const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Other daemons' proof may be as old as one wait and the questions for it; rates need a view that
+/// is younger than 6 s.
+const READ_TERMS: ReadTerms =
+    ReadTerms { changes_wait: CHANGES_WAIT, peer_proof_age_max: Duration::from_millis(5_200) };
+/// Time between two reads.
+const GATHER_PAUSE: Duration = Duration::from_millis(400);
+const RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// A daemon's record; its key is its name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -125,23 +132,30 @@
     if let Some(left) = view.own(shared).and_then(|entry| entry.left.clone()) {
         shared.backend.restore_left(left);
     }
-    let is_known = view.own(shared).is_some();
-    shared.quota.directory_read(asked, is_known);
+    shared.quota.joined(view.own(shared).is_some());
     shared.backend.directory_known();
     view.publish(shared, read.cursor);
+    shared.view.directory.read(read.cursor, asked);
     let own = shared.own_entry();
     if view.own(shared) != Some(&own) {
         write_own(shared, &own).await?;
     }
     loop {
+        // Daemons come and go many at a time: one read takes them all.
+        sleep(GATHER_PAUSE).await;
+        let wait = wait_turn(shared, StoreTopic::Directory, READ_TERMS).await;
         let asked = shared.clock.now();
-        read = shared.store.changes(StoreTopic::Directory, read.cursor, CHANGES_WAIT).await?;
-        let proven = proven_at(asked, read.records.is_empty(), CHANGES_WAIT);
-        shared.quota.directory_read(proven, true);
+        read = shared.store.changes(StoreTopic::Directory, read.cursor, wait).await?;
+        shared.store_answered("directory");
+        let proven = proven_at(asked, read.records.is_empty(), wait);
         if !read.records.is_empty() {
             view.apply(shared, &read);
             view.publish(shared, read.cursor);
         }
+        shared.view.directory.read(read.cursor, proven);
+        if !read.records.is_empty() {
+            shared.view.announce_change();
+        }
     }
 }
 
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -11,4 +11,5 @@
 pub mod settings;
 pub mod sidecar_daemon;
 pub(crate) mod sidecar_shared;
+pub(crate) mod store_view;
 pub mod wire_dialect;
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -68,6 +68,11 @@
         state.load = DoorLoad::default();
     }
 
+    /// Whether it is in the availability zone of this daemon.
+    pub(crate) fn is_in_own_zone(&self) -> bool {
+        self.same_zone
+    }
+
     /// The live link.
     pub(crate) fn link(&self) -> Option<Arc<PeerLink>> {
         self.lock().link.clone()
--- a/src/sidecar/process/quota_book.rs
+++ b/src/sidecar/process/quota_book.rs
@@ -11,6 +11,7 @@
 
 use super::peer_table::{PeerEntry, instance_key};
 use super::sidecar_shared::SidecarShared;
+use super::store_view::TopicView;
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::token_share::{RateTerms, TokenShare};
 use crate::sidecar::connection::frame::{PeerMessage, TokenAmount};
@@ -42,7 +43,8 @@
     members: usize,
     former: Vec<(MilliTime, usize)>,
     mints_from: Option<MilliTime>,
-    directory_read: Option<MilliTime>,
+    /// Whether the view of the directory was fresh at the last exchange.
+    has_fresh_view: bool,
 }
 
 /// Tokens of all organisations at this daemon.
@@ -83,8 +85,7 @@
 
     fn mints(&self, now: MilliTime) -> bool {
         let has_joined = self.mints_from.is_some_and(|from| now >= from);
-        let is_fresh = self.directory_read.is_some_and(|read| now.since(read) < VIEW_AGE_MAX);
-        has_joined && is_fresh
+        has_joined && self.has_fresh_view
     }
 }
 
@@ -106,11 +107,10 @@
         state.members = members;
     }
 
-    /// Notes that the directory asked for at `asked` was read, and whether it held this daemon: one
+    /// Notes that the directory was read for the first time, and whether it held this daemon: one
     /// that joins mints nothing until every older view is gone.
-    pub(crate) fn directory_read(&self, asked: MilliTime, is_listed: bool) {
+    pub(crate) fn joined(&self, is_listed: bool) {
         let mut state = self.lock();
-        state.directory_read = Some(asked);
         if state.mints_from.is_none() {
             let wait = if is_listed { Duration::ZERO } else { VIEW_AGE_MAX };
             state.mints_from = Some(self.clock.now() + wait);
@@ -287,10 +287,12 @@
         &self,
         config: &FleetConfig,
         peers: &[Arc<PeerEntry>],
+        directory: &TopicView,
     ) -> HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> {
         let now = self.clock.now();
         let mut moves: HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> = HashMap::new();
         let mut state = self.lock();
+        state.has_fresh_view = directory.is_fresh(now, VIEW_AGE_MAX);
         let (divisor, mints) = (state.divisor(now), state.mints(now));
         let members: Vec<u64> = peers.iter().map(|peer| peer.key).chain([self.own_key]).collect();
         for (name, known) in &mut state.shares {
@@ -327,7 +329,8 @@
             continue;
         };
         let peers = shared.peers.connected();
-        for (pool, (gifts, wants)) in shared.quota.exchange(&config, &peers) {
+        for (pool, (gifts, wants)) in shared.quota.exchange(&config, &peers, &shared.view.directory)
+        {
             let link = peers.iter().find(|peer| peer.key == pool).and_then(|peer| peer.link());
             let Some(link) = link else {
                 // The pool was lost in this moment: the tokens are lost with it.
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -16,15 +16,16 @@
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_book::QuotaBook;
 use super::settings::SidecarSettings;
+use super::store_view::StoreView;
 use super::wire_dialect::WireDialect;
 use crate::clock::{MilliClock, MilliTime};
-use crate::policy::evidence::ConfigEvidence;
 use crate::policy::placement::DoorLoad;
 use crate::policy::retry_allowance::RetryAllowance;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
 use crate::sidecar::connection::backend_pool::BackendPool;
+use crate::sidecar::connection::frame::{PeerMessage, TopicProof};
 use crate::sidecar::request::context::CallOutcome;
 use crate::sidecar::version::fleet_config::FleetConfig;
 
@@ -52,7 +53,7 @@
     pub(crate) split: Mutex<WeightedSplit>,
     pub(crate) stop: StopSignal,
     pub(crate) own_key: u64,
-    evidence: Mutex<ConfigEvidence>,
+    pub(crate) view: StoreView,
     config: ArcSwapOption<FleetConfig>,
     lost_dependencies: Mutex<HashSet<String>>,
 }
@@ -98,7 +99,7 @@
             split: Mutex::default(),
             stop: StopSignal::default(),
             own_key: instance_key(&settings.name),
-            evidence: Mutex::default(),
+            view: StoreView::new(clock.clone()),
             config: ArcSwapOption::empty(),
             lost_dependencies: Mutex::default(),
             metrics: FleetMetrics::default(),
@@ -126,29 +127,56 @@
         self.config.store(Some(Arc::new(config)));
     }
 
-    /// Notes that everything written before `at` is known here.
-    pub(crate) fn prove(&self, at: MilliTime) {
-        self.evidence.lock().expect("no holder panics").prove(at);
-    }
-
     /// The age of the proof that the configuration is the newest.
     pub(crate) fn evidence_age(&self) -> Option<Duration> {
-        self.evidence.lock().expect("no holder panics").age(self.clock.now())
+        self.view.config_age()
     }
 
     /// Whether a key that is known here certainly has not been withdrawn for too long.
     pub(crate) fn trusts_keys(&self) -> bool {
         let bound = self.settings.withdrawal_bound.saturating_sub(WITHDRAWAL_MARGIN);
-        self.evidence.lock().expect("no holder panics").is_fresh(self.clock.now(), bound)
+        self.view.configuration.is_fresh(self.clock.now(), bound)
     }
 
     /// Whether callers should send their requests here.
     pub(crate) fn is_ready(&self) -> bool {
         let bound = self.settings.withdrawal_bound.mul_f64(READY_EVIDENCE_PART);
-        let evidence = self.evidence.lock().expect("no holder panics");
         !self.stop.is_raised()
             && self.config.load().is_some()
-            && evidence.is_fresh(self.clock.now(), bound)
+            && self.view.configuration.is_fresh(self.clock.now(), bound)
+    }
+
+    /// The peer in the own availability zone that reads the store; `None` if this daemon does.
+    pub(crate) fn store_reader(&self) -> Option<Arc<PeerEntry>> {
+        let peers = self.peers.connected();
+        let zone_peers = peers.into_iter().filter(|peer| peer.is_in_own_zone());
+        let reader = zone_peers.min_by_key(|peer| peer.key)?;
+        (reader.key < self.own_key).then_some(reader)
+    }
+
+    /// What other daemons may know of the store from here.
+    pub(crate) fn store_proof(&self, number: Option<u64>) -> PeerMessage {
+        let now = self.clock.now();
+        PeerMessage::Proof {
+            number,
+            configuration: self.view.configuration.proof(now),
+            directory: self.view.directory.proof(now),
+        }
+    }
+
+    /// Takes in what another daemon knows of the store; `asked` is when it was asked.
+    pub(crate) fn take_proof(
+        &self,
+        asked: Option<MilliTime>,
+        configuration: Option<TopicProof>,
+        directory: Option<TopicProof>,
+    ) {
+        if let Some(proof) = configuration {
+            self.view.configuration.take_proof(asked, proof);
+        }
+        if let Some(proof) = directory {
+            self.view.directory.take_proof(asked, proof);
+        }
     }
 
     /// The record of this daemon in the directory.
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::policy::evidence::proven_at;
 use crate::sidecar::process::decision_log::LineWeight;
@@ -14,8 +14,22 @@
 /// How long one read waits for changes. An answer lost costs this much age of the proof, and two
 /// must fit into the bound for withdrawn keys.
 const CHANGES_WAIT: Duration = Duration::from_millis(1_500);
+/// Time between questions to the daemon that reads for the availability zone.
+const ASK_INTERVAL: Duration = Duration::from_millis(700);
+/// With proof older than 2.4 s a daemon reads by itself: callers are sent away soon after.
+const READ_TERMS: ReadTerms =
+    ReadTerms { changes_wait: CHANGES_WAIT, peer_proof_age_max: Duration::from_millis(2_400) };
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(600);
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(900);
+
+/// How a topic is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadTerms {
+    /// How long a read waits for changes.
+    pub(crate) changes_wait: Duration,
+    /// How old proof of another daemon may become before a daemon reads by itself.
+    pub(crate) peer_proof_age_max: Duration,
+}
 
 #[derive(Serialize)]
 struct ConfigChange {
@@ -33,42 +47,67 @@
 
 /// Follows the configuration until the task is aborted.
 pub(crate) async fn follow_config(shared: Arc<SidecarShared>) {
-    let mut cursor = None;
     let mut pause = RETRY_PAUSE;
+    // The first read after a failure brings proof at once instead of after a wait.
+    let mut wait = Duration::ZERO;
     loop {
-        match follow_once(&shared, &mut cursor).await {
-            Ok(()) => pause = RETRY_PAUSE,
+        match read_config(&shared, wait).await {
+            Ok(()) => {
+                pause = RETRY_PAUSE;
+                wait = wait_turn(&shared, StoreTopic::Configuration, READ_TERMS).await;
+            }
             Err(error) => {
                 if error == StoreError::Expired {
-                    cursor = None;
+                    shared.view.configuration.forget();
                 }
                 shared.store_failed("configuration", &error);
                 sleep(pause).await;
+                wait = Duration::ZERO;
                 pause = (pause * 2).min(RETRY_PAUSE_MAX);
             }
         }
     }
 }
 
-/// Reads from `cursor` on, at once and then waiting for changes, until a read fails.
-async fn follow_once(
-    shared: &Arc<SidecarShared>,
-    cursor: &mut Option<u64>,
-) -> Result<(), StoreError> {
-    // The first read after a failure brings proof at once instead of after a wait.
-    let mut wait = Duration::ZERO;
+/// Waits until this daemon is to read `topic` itself and returns how long that read may wait for
+/// changes: the reader of an availability zone reads on, the others ask it.
+pub(crate) async fn wait_turn(
+    shared: &SidecarShared,
+    topic: StoreTopic,
+    terms: ReadTerms,
+) -> Duration {
+    let view = shared.view.topic(topic);
     loop {
-        let asked = shared.clock.now();
-        let read = match *cursor {
-            Some(cursor) => shared.store.changes(StoreTopic::Configuration, cursor, wait).await?,
-            None => shared.store.snapshot(StoreTopic::Configuration).await?,
+        let Some(reader) = shared.store_reader() else {
+            return terms.changes_wait;
         };
-        take_read(shared, &read);
-        *cursor = Some(read.cursor);
-        shared.prove(proven_at(asked, read.records.is_empty(), wait));
-        shared.store_answered("configuration");
-        wait = CHANGES_WAIT;
+        if let Some(link) = reader.link() {
+            link.ask_proof(shared.clock.now());
+        }
+        if timeout(ASK_INTERVAL, view.behind()).await.is_ok() {
+            return Duration::ZERO;
+        }
+        if !view.is_fresh(shared.clock.now(), terms.peer_proof_age_max) {
+            return Duration::ZERO;
+        }
+    }
+}
+
+/// Reads from where the last read ended.
+async fn read_config(shared: &Arc<SidecarShared>, wait: Duration) -> Result<(), StoreError> {
+    let asked = shared.clock.now();
+    let read = match shared.view.configuration.cursor() {
+        Some(cursor) => shared.store.changes(StoreTopic::Configuration, cursor, wait).await?,
+        None => shared.store.snapshot(StoreTopic::Configuration).await?,
+    };
+    take_read(shared, &read);
+    let proven = proven_at(asked, read.records.is_empty(), wait);
+    shared.view.configuration.read(read.cursor, proven);
+    if !read.records.is_empty() {
+        shared.view.announce_change();
     }
+    shared.store_answered("configuration");
+    Ok(())
 }
 
 fn take_read(shared: &Arc<SidecarShared>, read: &StoreRead) {
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -39,6 +39,7 @@
 pub(super) struct MemoryStore {
     records: Mutex<Vec<(StoreTopic, StoreRecord)>>,
     written: Notify,
+    pub(super) reads: AtomicUsize,
     is_down: Mutex<bool>,
 }
 
@@ -92,6 +93,7 @@
         cursor: u64,
         wait: Duration,
     ) -> Result<StoreRead, StoreError> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
         let end = Instant::now() + wait;
         loop {
             let written = self.written.notified();
--- a/tests/suite/sidecar/links.rs
+++ b/tests/suite/sidecar/links.rs
@@ -1,8 +1,17 @@
 //! Links between daemons.
 
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use googletest::prelude::*;
+use lentilway::sidecar::process::keyed_store::StoreTopic;
+use tokio::time::sleep;
+
+use super::fleet::{KEY, TestFleet, WITHDRAWN_KEY, config};
 
-use super::fleet::{KEY, TestFleet};
+/// Links and reads of the start have ended after this.
+const SETTLED: Duration = Duration::from_millis(1_500);
+const WATCHED: Duration = Duration::from_secs(3);
 
 #[gtest]
 #[tokio::test]
@@ -36,3 +45,41 @@
     }
     expect_that!(reused.backend.arrivals(), eq(before));
 }
+
+/// One daemon of an availability zone reads the store; the others learn from it at once, and read
+/// by themselves when it is gone.
+#[gtest]
+#[tokio::test]
+async fn store_read_by_one() {
+    let fleet = TestFleet::new();
+    let mut daemons = Vec::new();
+    for name in ["one", "two", "three", "four", "five", "six"] {
+        daemons.push(fleet.start(name, "stock").await);
+    }
+    for daemon in &daemons {
+        fleet.until(daemon, "/read/1", WITHDRAWN_KEY, 200).await;
+    }
+    sleep(SETTLED).await;
+    let before = fleet.store.reads.load(Ordering::SeqCst);
+    sleep(WATCHED).await;
+    let reads = fleet.store.reads.load(Ordering::SeqCst) - before;
+    // Each alone would read both topics: 6 daemons, 3 s, every 1.5 and every 4 s.
+    expect_that!(reads, le(6));
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(2, false)));
+    for daemon in &daemons {
+        fleet.until(daemon, "/read/1", WITHDRAWN_KEY, 401).await;
+    }
+    let mut number = 1;
+    while daemons.len() > 1 {
+        daemons.remove(0).daemon.abort().await;
+        // The backend servers go on sending heartbeats.
+        number += 1;
+        for daemon in &daemons {
+            fleet.announce(daemon, number, false).await;
+        }
+        sleep(WATCHED).await;
+        for daemon in &daemons {
+            expect_that!(fleet.send(daemon, "/read/1", KEY).await.status, eq(200));
+        }
+    }
+}
