--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of sidecar daemons in one process, on loopback.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -142,7 +142,7 @@
 
 impl TestBackend {
     pub(super) async fn start(manner: BackendManner) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind((own_loopback(), 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let arrivals = Arc::new(AtomicUsize::new(0));
         let manner = Arc::new(Mutex::new(manner));
@@ -224,9 +224,26 @@
     next_id: AtomicUsize,
 }
 
+/// Addresses handed out by this process.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+
+/// A loopback address of this process alone: tests that run beside it take no port of it between
+/// this call and the daemon's start.
+fn own_loopback() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | (high & 63), middle ^ 1, low.max(1))
+}
+
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    loop {
+        let listener = std::net::TcpListener::bind((own_loopback(), 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut given = GIVEN.lock().unwrap();
+        if !given.contains(&address) {
+            given.push(address);
+            return address;
+        }
+    }
 }
 
 fn route(name: &str, kind: &str, service: &str, is_open: bool) -> serde_json::Value {
