--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::decision_log::LineWeight;
@@ -43,8 +43,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct BackendWatch {
     state: Mutex<WatchState>,
-    directory: tokio::sync::watch::Sender<bool>,
-    left_changed: Notify,
+    directory: watch::Sender<bool>,
 }
 
 #[derive(Serialize)]
@@ -229,7 +228,6 @@
         verdict: "left",
     };
     shared.log.write(LineWeight::Change, "backend-server", &line);
-    shared.backend.left_changed.notify_one();
     let own = shared.own_entry();
     match timeout(LEAVE_WRITE_MAX, write_own(shared, &own)).await {
         Ok(Ok(())) => {}
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use rand::Rng;
 use serde::Serialize;
@@ -20,7 +20,7 @@
 use crate::policy::request_rank::RequestRank;
 use crate::policy::return_time::return_after;
 use crate::policy::root_admission::{RootGroup, RootVerdict};
-use crate::request::header::end_to_end;
+use crate::request::header::{end_to_end, number};
 use crate::sidecar::connection::backend_pool::list_headers;
 use crate::sidecar::process::backend_door::{DoorCall, RunNotes};
 use crate::sidecar::process::decision_log::LineWeight;
@@ -250,7 +250,7 @@
     let route = route
         .ok_or_else(|| RequestRefusal::new(ResultCode::RouteUnknown, format!("host {host}")))?;
     trace.route = Some(route.name.clone());
-    let stated = number(request.headers(), &names.deadline_millis);
+    let stated: Option<u64> = number(request.headers(), &names.deadline_millis);
     let stated = stated.map_or(route.timeout, Duration::from_millis);
     let deadline = trace.started + stated.min(route.timeout);
     let organisation = match route.is_open {
@@ -387,10 +387,6 @@
     list_headers(&kept)
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    crate::request::header::number(headers, name)
-}
-
 async fn dispatch(
     shared: &Arc<SidecarShared>,
     admitted: &AdmittedRequest,
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -137,6 +137,8 @@
 pub(super) struct TestBackend {
     pub(super) address: SocketAddr,
     pub(super) arrivals: Arc<AtomicUsize>,
+    /// Runs whose connection was closed before their answer.
+    pub(super) cancelled: Arc<AtomicUsize>,
     manner: Arc<Mutex<BackendManner>>,
 }
 
@@ -147,19 +149,22 @@
         let arrivals = Arc::new(AtomicUsize::new(0));
         let manner = Arc::new(Mutex::new(manner));
         let (counted, asked) = (arrivals.clone(), manner.clone());
+        let cancelled = Arc::new(AtomicUsize::new(0));
+        let cut = cancelled.clone();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                let (counted, asked) = (counted.clone(), asked.clone());
+                let (counted, asked, cut) = (counted.clone(), asked.clone(), cut.clone());
                 let service = service_fn(move |request| {
                     counted.fetch_add(1, Ordering::SeqCst);
-                    answer(request, *asked.lock().unwrap())
+                    let run = TestRun { cut: cut.clone(), is_ended: false };
+                    answer(request, *asked.lock().unwrap(), run)
                 });
                 let server = hyper::server::conn::http1::Builder::new();
                 tokio::spawn(server.serve_connection(TokioIo::new(stream), service));
             }
         });
-        TestBackend { address, arrivals, manner }
+        TestBackend { address, arrivals, cancelled, manner }
     }
 
     pub(super) fn set_manner(&self, manner: BackendManner) {
@@ -171,9 +176,24 @@
     }
 }
 
+/// Counts a run that ends without an answer.
+struct TestRun {
+    cut: Arc<AtomicUsize>,
+    is_ended: bool,
+}
+
+impl Drop for TestRun {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.cut.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
 async fn answer(
     request: Request<Incoming>,
     manner: BackendManner,
+    mut run: TestRun,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
     let id = request.headers().get("x-lentilway-attempt-id").cloned().unwrap();
     let leaks_key = request.headers().contains_key("authorization");
@@ -199,6 +219,7 @@
             *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
         }
     }
+    run.is_ended = true;
     Ok(response)
 }
 
--- a/tests/suite/sidecar/truth.rs
+++ b/tests/suite/sidecar/truth.rs
@@ -1,10 +1,12 @@
 //! What callers are told is true.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use googletest::prelude::*;
+use tokio::time::timeout;
 
-use super::fleet::{BackendManner, KEY, TestFleet};
+use super::fleet::{BackendManner, KEY, TestFleet, wait_until};
 
 /// A request that may not be repeated reaches one backend server once, however that fails.
 #[gtest]
@@ -86,3 +88,27 @@
     expect_that!(answer.status, eq(504));
     expect_that!(answer.headers["lentilway-execution"], eq("may-have-run"));
 }
+
+/// A caller that leaves takes its run with it, through both daemons.
+#[gtest]
+#[tokio::test]
+async fn caller_gone_cancels_run() {
+    let fleet = TestFleet::new();
+    let stock = fleet.start("one", "stock").await;
+    let entry = fleet.start("two", "prices").await;
+    fleet.until(&entry, "/read/1", KEY, 200).await;
+    stock.backend.set_manner(BackendManner::Answers(Duration::from_secs(60)));
+    let arrived = stock.backend.arrivals();
+    let asked = async {
+        let sent = fleet.send(&entry, "/read/1", KEY);
+        let arrival = wait_until(|| stock.backend.arrivals() > arrived);
+        tokio::select! {
+            answer = sent => panic!("no answer was expected: {answer:?}"),
+            () = arrival => {}
+        }
+    };
+    asked.await;
+    let cancelled = wait_until(|| stock.backend.cancelled.load(Ordering::SeqCst) > 0);
+    // Well before the caller's deadline of two seconds ends the run.
+    expect_that!(timeout(Duration::from_millis(1_500), cancelled).await, ok(anything()));
+}
