--- a/tests/suite/overload/retries.rs
+++ b/tests/suite/overload/retries.rs
@@ -7,7 +7,7 @@
 use lentilway::config::ControlMode;
 use lentilway::request::ledger::{RetryLedger, RetryLoan};
 use lentilway::request::resend::{ResendMemory, SendKind};
-use lentilway_lab::fleet::{Fleet, NodePlan, organisation, read_route, ticket};
+use lentilway_lab::fleet::{Fleet, NodePlan, organisation, read_route, ticket, write_route};
 use lentilway_stand_ins::backend::{AnswerFault, BackendBehaviour, SubCall};
 use lentilway_stand_ins::caller::{Caller, CallerRequest};
 use proptest::prelude::*;
@@ -16,6 +16,9 @@
 
 const KEY: &str = "key-of-nord";
 const RATE: f64 = 10_000.0;
+/// A non-idempotent route: a request without an idempotency key runs nothing there.
+const PROBE: &str = "/probe";
+const KEY_MISSING: u16 = 2009;
 /// Long enough that a busy machine changes no ending.
 const ROUTE_TIMEOUT_MS: u64 = 60_000;
 
@@ -29,7 +32,8 @@
     services: &[(BackendBehaviour, usize)],
     allowance: u8,
 ) -> googletest::Result<Fleet> {
-    let mut objects = vec![organisation("nord", KEY, RATE, RATE)];
+    let probe = write_route("probe", PROBE, "s0");
+    let mut objects = vec![organisation("nord", KEY, RATE, RATE), probe];
     let mut plans = vec![NodePlan::new("entry", "az1", BackendBehaviour::default())];
     for (index, (behaviour, instances)) in services.iter().enumerate() {
         let service = format!("s{index}");
@@ -43,7 +47,23 @@
     let configure = |config: &mut lentilway::config::DaemonConfig| {
         config.retry_allowance = allowance;
     };
-    Fleet::start(&tickets, &plans, configure).await.or_fail()
+    let fleet = Fleet::start(&tickets, &plans, configure).await.or_fail()?;
+    wait_tokens(&fleet).await?;
+    Ok(fleet)
+}
+
+/// Waits until the entry daemon has tokens of the organisation's rate: until a request that lacks
+/// its idempotency key is refused for that and not for its rate. A busy machine takes longer to
+/// hand out the shares.
+async fn wait_tokens(fleet: &Fleet) -> googletest::Result<()> {
+    let unkeyed = CallerRequest { method: "POST".into(), ..CallerRequest::get(PROBE, KEY) };
+    loop {
+        let answer = Caller::default().send(fleet.callers()[0], &unkeyed).await;
+        if answer.map_err(|error| anyhow(&error))?.code == KEY_MISSING {
+            return Ok(());
+        }
+        tokio::task::yield_now().await;
+    }
 }
 
 /// Executions of each service.
