--- a/stand-ins/src/log.rs
+++ b/stand-ins/src/log.rs
@@ -31,6 +31,10 @@
     pub delay_ms: u64,
     /// The answer of each append is this much later than its effect.
     pub append_answer_delay_ms: u64,
+    /// Appends wait, and take effect once the faults are replaced.
+    pub hold_appends: bool,
+    /// Answers of appends wait after their effect until the faults are replaced.
+    pub hold_append_answers: bool,
     /// This many appends take effect and then get no answer.
     pub lose_append_answers: u32,
     /// This many appends get no answer and take no effect.
@@ -71,6 +75,7 @@
 struct LogState {
     streams: Mutex<HashMap<String, LogStream>>,
     faults: Mutex<LogFaults>,
+    faults_replaced: Notify,
     appends: Mutex<u64>,
     received: watch::Sender<u64>,
     appended: Notify,
@@ -110,7 +115,7 @@
 
     /// Replaces the faults.
     pub fn set_faults(&self, faults: LogFaults) {
-        *self.state.faults.lock().expect("no holder panics") = faults;
+        self.state.set_faults(faults);
     }
 
     /// Drops the records of `stream` before `offset`.
@@ -160,6 +165,22 @@
         offset
     }
 
+    fn set_faults(&self, faults: LogFaults) {
+        *self.faults.lock().expect("no holder panics") = faults;
+        self.faults_replaced.notify_waiters();
+    }
+
+    /// Waits until the faults of `stream` do not `hold` any more.
+    async fn wait_released(&self, stream: &str, hold: impl Fn(&LogFaults) -> bool) {
+        loop {
+            let replaced = self.faults_replaced.notified();
+            if !hold(&self.faults.lock().expect("no holder panics").of(stream)) {
+                return;
+            }
+            replaced.await;
+        }
+    }
+
     fn take_fault(&self, stream: &str, pick: impl Fn(&mut LogFaults) -> &mut u32) -> bool {
         let mut faults = self.faults.lock().expect("no holder panics");
         if !stream.starts_with(&faults.streams) {
@@ -222,7 +243,9 @@
             ServerReply::Send(json_response(StatusCode::NOT_FOUND, &json!({})))
         }
         "POST" => {
+            state.wait_released(&stream, |faults| faults.hold_appends).await;
             let answer = append(&state, &stream, request.body);
+            state.wait_released(&stream, |faults| faults.hold_append_answers).await;
             sleep(Duration::from_millis(faults.append_answer_delay_ms)).await;
             answer
         }
@@ -234,7 +257,7 @@
 fn set_faults(state: &LogState, body: &[u8]) -> ServerReply {
     match serde_json::from_slice(body) {
         Ok(faults) => {
-            *state.faults.lock().expect("no holder panics") = faults;
+            state.set_faults(faults);
             ServerReply::Send(json_response(StatusCode::OK, &json!({})))
         }
         Err(error) => {
--- a/tests/suite/claims.rs
+++ b/tests/suite/claims.rs
@@ -314,7 +314,6 @@
 
 const SERVICE_MS: f64 = 300.0;
 const KEY_MISSING: u16 = 2009;
-const LOG_DELAY_MS: u64 = 400;
 const DEADLINE_MARGIN: Duration = Duration::from_millis(300);
 const FLEETS_AT_ONCE: usize = 4;
 const CLAIMANT: usize = 0;
@@ -405,10 +404,8 @@
 
     fn set_faults_for(&self, point: FaultPoint) {
         let faults = match point {
-            FaultPoint::BeforeClaim => LogFaults { delay_ms: LOG_DELAY_MS, ..claim_faults() },
-            FaultPoint::AfterClaim => {
-                LogFaults { append_answer_delay_ms: LOG_DELAY_MS, ..claim_faults() }
-            }
+            FaultPoint::BeforeClaim => LogFaults { hold_appends: true, ..claim_faults() },
+            FaultPoint::AfterClaim => LogFaults { hold_append_answers: true, ..claim_faults() },
             _ => claim_faults(),
         };
         self.log.set_faults(faults);
