Rates: bursts are granted evenly over the platform's window; pools hold what small shares add up to

Change: three quarters of the burst become rate over the platform's window (same bound per window); half of the tolerated excess is stock; the pool holds the whole burst where equal parts are below one token; daemons give to the pool at different moments; a pool lends whole tokens. Window and slack come from the settings file.

--- a/src/sidecar/process/quota_book.rs
+++ b/src/sidecar/process/quota_book.rs
@@ -13,7 +13,7 @@
 use super::sidecar_shared::SidecarShared;
 use super::store_view::TopicView;
 use crate::clock::{MilliClock, MilliTime};
-use crate::policy::token_share::{RateTerms, TokenShare};
+use crate::policy::token_share::{RateTerms, RateWindow, TokenShare};
 use crate::sidecar::connection::frame::{PeerMessage, TokenAmount};
 use crate::sidecar::version::fleet_config::{FleetConfig, FleetOrganisation};
 
@@ -52,6 +52,7 @@
 pub(crate) struct QuotaBook {
     clock: MilliClock,
     own_key: u64,
+    window: RateWindow,
     state: Mutex<QuotaState>,
     received: Notify,
 }
@@ -90,9 +91,9 @@
 }
 
 impl QuotaBook {
-    pub(crate) fn new(clock: MilliClock, own_name: &str) -> Self {
+    pub(crate) fn new(clock: MilliClock, own_name: &str, window: RateWindow) -> Self {
         let own_key = instance_key(own_name);
-        QuotaBook { clock, own_key, state: Mutex::default(), received: Notify::new() }
+        QuotaBook { clock, own_key, window, state: Mutex::default(), received: Notify::new() }
     }
 
     /// Sets the number of daemons in the directory.
@@ -126,9 +127,10 @@
         });
         for organisation in config.organisations() {
             if let Some(terms) = organisation.rate {
+                let draw = rand::random::<f64>();
                 let known = state.shares.entry(organisation.name.clone());
                 known.or_insert_with(|| OrganisationShare {
-                    share: TokenShare::new(now, terms),
+                    share: TokenShare::new(now, terms.spread_over(self.window), draw),
                     pool: self.own_key,
                     waiting: 0,
                     dry_until: MilliTime(0),
@@ -302,7 +304,8 @@
             let pool = members.iter().max_by_key(|member| rendezvous(name, **member));
             known.pool = pool.copied().unwrap_or(self.own_key);
             let is_pool = known.pool == self.own_key;
-            known.share.set_terms(now, terms, divisor, mints, is_pool);
+            let spread = terms.spread_over(self.window);
+            known.share.set_terms(now, spread, divisor, mints, is_pool);
             if let Some(tokens) = known.share.take_surplus(now) {
                 let amount = TokenAmount { organisation: name.clone(), tokens };
                 moves.entry(known.pool).or_default().0.push(amount);
--- a/src/sidecar/process/settings.rs
+++ b/src/sidecar/process/settings.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::policy::token_share::RateWindow;
+
 /// Everything that a sidecar daemon is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SidecarSettings {
@@ -29,6 +31,8 @@
     pub store_address: SocketAddr,
     /// A withdrawn key must not work longer than this after the change was acknowledged.
     pub withdrawal_bound: Duration,
+    /// How the rates of organisations are judged.
+    pub rate_window: RateWindow,
     /// A stopping process is killed after this.
     pub stop_bound: Duration,
 }
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -93,7 +93,7 @@
             door: BackendDoor::new(clock.clone(), settings.service.clone(), pool),
             backend: BackendWatch::default(),
             peers: PeerTable::default(),
-            quota: QuotaBook::new(clock.clone(), &settings.name),
+            quota: QuotaBook::new(clock.clone(), &settings.name, settings.rate_window),
             admission: Mutex::new(RootAdmission::new(now)),
             retries: Mutex::default(),
             split: Mutex::default(),
--- a/tests/suite/platform/records.rs
+++ b/tests/suite/platform/records.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use hyper::Method;
 use lentilway::platform::{PlatformDialect, parse_settings};
+use lentilway::policy::token_share::RateWindow;
 use lentilway::sidecar::process::wire_dialect::{BackendAnnouncement, WireDialect};
 use serde_json::{Value, json};
 
@@ -138,6 +139,8 @@
 [terms.bounds]
 revoke_s = 5
 grace_s = 6
+quota_window_s = 5
+quota_slack = 20
 "#;
 
 #[gtest]
@@ -147,6 +150,8 @@
     expect_that!(settings.request_listen.port(), eq(8548));
     expect_that!(settings.metrics_listen.port(), eq(7001));
     expect_that!(settings.withdrawal_bound, eq(Duration::from_secs(5)));
+    let window = RateWindow { span: Duration::from_secs(5), slack: 20.0 };
+    expect_that!(settings.rate_window, eq(window));
     Ok(())
 }
 
--- a/tests/suite/policy/tokens.rs
+++ b/tests/suite/policy/tokens.rs
@@ -7,11 +7,16 @@
 use lentilway::policy::evidence::{ConfigEvidence, proven_at};
 use lentilway::policy::retry_allowance::{RETRIES_PER_REQUEST, RetryAllowance, SAVED_RETRIES_MAX};
 use lentilway::policy::return_time::return_after;
-use lentilway::policy::token_share::{RateTerms, TokenShare};
+use lentilway::policy::token_share::{RateTerms, RateWindow, TokenShare};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 const DAEMONS: usize = 14;
+/// How rates are judged.
+const WINDOW: RateWindow = RateWindow { span: Duration::from_secs(5), slack: 20.0 };
+/// A small organisation: each daemon mints a token in five seconds.
+const SMALL: RateTerms = RateTerms { per_second: 13.0, burst: 13.0 };
+const MANY_DAEMONS: usize = 66;
 const TERMS: RateTerms = RateTerms { per_second: 38.0, burst: 38.0 };
 const EXCHANGE_EVERY_MS: u64 = 200;
 
@@ -24,17 +29,22 @@
 
 impl TokenFleet {
     fn new() -> Self {
+        TokenFleet::with_terms(TERMS, DAEMONS)
+    }
+
+    fn with_terms(terms: RateTerms, daemons: usize) -> Self {
         let now = MilliTime(0);
+        let mut random = StdRng::seed_from_u64(daemons as u64);
         let mut shares: Vec<TokenShare> =
-            (0..DAEMONS).map(|_| TokenShare::new(now, TERMS)).collect();
+            (0..daemons).map(|_| TokenShare::new(now, terms, random.random())).collect();
         for (index, share) in shares.iter_mut().enumerate() {
-            share.set_terms(now, TERMS, DAEMONS, true, index == 0);
+            share.set_terms(now, terms, daemons, true, index == 0);
         }
         TokenFleet { shares, admitted: Vec::new(), refused: 0 }
     }
 
     fn exchange(&mut self, now: MilliTime) {
-        for index in 1..DAEMONS {
+        for index in 1..self.shares.len() {
             if let Some(surplus) = self.shares[index].take_surplus(now) {
                 self.shares[0].receive(now, surplus);
             } else if let Some(wanted) = self.shares[index].wanted_by_demand(now) {
@@ -70,8 +80,9 @@
                 self.exchange(now);
             }
             if random.random_bool((per_second / 1_000.0).min(1.0)) {
-                let skewed = random.random::<f64>().powi(2) * DAEMONS as f64;
-                self.request(now, (skewed as usize).min(DAEMONS - 1));
+                let daemons = self.shares.len();
+                let skewed = random.random::<f64>().powi(2) * daemons as f64;
+                self.request(now, (skewed as usize).min(daemons - 1));
             }
         }
     }
@@ -110,10 +121,66 @@
     expect_that!(f64::from(fleet.refused), lt(0.01 * 20.0 * TERMS.per_second / 1.6));
 }
 
+/// Part of the requests that are refused in 18 s of a surge to `per_second`.
+fn refused_in_surge(terms: RateTerms, daemons: usize, per_second: f64) -> f64 {
+    let mut fleet = TokenFleet::with_terms(terms, daemons);
+    let mut random = StdRng::seed_from_u64(13);
+    fleet.run(0, 5_000, per_second * 0.5, &mut random);
+    fleet.refused = 0;
+    let admitted = fleet.admitted.len();
+    fleet.run(5_000, 23_000, per_second, &mut random);
+    let refused = f64::from(fleet.refused);
+    refused / (refused + (fleet.admitted.len() - admitted) as f64)
+}
+
+/// Demand above the rate, but within rate and burst of every window: each allows 1.2 times the
+/// rate.
+#[gtest]
+fn spread_over_surge_refuses_less() {
+    for (terms, daemons) in [(TERMS, DAEMONS), (SMALL, MANY_DAEMONS)] {
+        let surge = terms.per_second * 1.1;
+        let before = refused_in_surge(terms, daemons, surge);
+        let after = refused_in_surge(terms.spread_over(WINDOW), daemons, surge);
+        println!("refused with a stock of the burst {before:.3}, with the burst spread {after:.3}");
+        expect_that!(after, lt(0.03));
+        expect_that!(before, gt(2.0 * after));
+    }
+}
+
+/// Daemons that mint small parts give them to the pool as they come, and it can hold them.
+#[gtest]
+fn take_small_organisation_not_refused() {
+    let refused = refused_in_surge(SMALL, MANY_DAEMONS, SMALL.per_second / 1.2);
+    expect_that!(refused, lt(0.01));
+}
+
+#[gtest]
+fn spread_over_hot_organisation_bounded() {
+    for (terms, daemons) in [(TERMS, DAEMONS), (SMALL, MANY_DAEMONS)] {
+        let mut fleet = TokenFleet::with_terms(terms.spread_over(WINDOW), daemons);
+        let mut random = StdRng::seed_from_u64(11);
+        fleet.run(0, 5_000, terms.per_second * 0.2, &mut random);
+        fleet.run(5_000, 25_000, terms.per_second * 8.0, &mut random);
+        let bound = terms.per_second * WINDOW.span.as_secs_f64() + terms.burst + WINDOW.slack;
+        expect_that!(fleet.most_in(WINDOW.span.as_millis() as u64) as f64, le(bound));
+    }
+}
+
+/// A part of a token admits nothing elsewhere, and would be missing here.
+#[gtest]
+fn lend_whole_tokens() {
+    let mut pool = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    pool.set_terms(MilliTime(0), TERMS, DAEMONS, false, true);
+    pool.receive(MilliTime(0), 1.6);
+    expect_that!(pool.lend(MilliTime(1), 4.0), eq(1.0));
+    expect_that!(pool.lend(MilliTime(2), 0.9), eq(0.0));
+    expect_that!(pool.lend(MilliTime(3), 0.5), eq(0.5));
+}
+
 /// Idle daemons give what they mint to the pool, above their reserve too.
 #[gtest]
 fn take_surplus_idle() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS);
+    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, true, false);
     let ticks = (1..=100).map(|tick| share.take_surplus(MilliTime(tick * EXCHANGE_EVERY_MS)));
     let given: f64 = ticks.flatten().sum();
@@ -123,7 +190,7 @@
 /// A borrower keeps what its demand needs, though it is more than its part of the burst.
 #[gtest]
 fn receive_loan_above_part_of_burst() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS);
+    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     for step in 0..20 {
         share.take(MilliTime(step * 50));
@@ -137,7 +204,7 @@
 /// A request that lacks a small part of a token asks for it.
 #[gtest]
 fn wanted_part_of_a_token() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS);
+    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     share.receive(MilliTime(0), 0.9);
     expect_that!(share.take(MilliTime(1)), eq(false));
@@ -146,7 +213,7 @@
 
 #[gtest]
 fn set_terms_lowered_clips() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS);
+    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
     share.set_terms(MilliTime(0), TERMS, 1, true, true);
     share.retake(MilliTime(10_000));
     let low = RateTerms { per_second: 2.0, burst: 2.0 };
@@ -156,7 +223,7 @@
 
 #[gtest]
 fn mint_not_a_member_yet() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS);
+    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     expect_that!(share.take(MilliTime(60_000)), eq(false));
 }
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use lentilway::clock::MilliClock;
 use lentilway::platform::PlatformDialect;
+use lentilway::policy::token_share::RateWindow;
 use lentilway::sidecar::process::decision_log::DecisionLog;
 use lentilway::sidecar::process::keyed_store::{
     KeyedStore, StoreError, StoreRead, StoreRecord, StoreTopic,
@@ -322,6 +323,7 @@
             metrics_listen: free_address(),
             store_address: free_address(),
             withdrawal_bound: Duration::from_secs(5),
+            rate_window: RateWindow { span: Duration::from_secs(5), slack: 20.0 },
             stop_bound: Duration::from_secs(3),
         };
         let log = DecisionLog::new(MilliClock::monotonic(), Box::new(std::io::sink()));
