Refused runs are no demand; ids, dates and lengths do not travel with answers; reasons in lines

Answers carried the id that the entry knows, a date and a length. Change: a failed run puts the demand right by the time that it held its slot; the three headers are written by the daemon that the caller reached; lines of refused requests tell the share of roots that may retry; state kept by route ends with the route.

--- a/src/policy/door_queue.rs
+++ b/src/policy/door_queue.rs
@@ -202,21 +202,19 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Ends a run. A run that was answered counts for the service time, and `failed` tells whether
-    /// the backend server failed it.
-    pub fn finish(
-        &mut self,
-        now: MilliTime,
-        rank: RequestRank,
-        elapsed: Option<Duration>,
-        failed: bool,
-    ) {
+    /// Ends a run that took `elapsed`; `failed` tells whether the backend server failed it. A run
+    /// that did not fail counts for the service time. One that failed used its slot for another
+    /// time than was expected, a refused one for hardly any: the demand is put right.
+    pub fn finish(&mut self, now: MilliTime, rank: RequestRank, elapsed: Duration, failed: bool) {
         self.release();
         self.failed_part.add(now, failed);
-        if let Some(elapsed) = elapsed {
-            let average = if rank.is_root { &mut self.root_millis } else { &mut self.call_millis };
-            average.add(elapsed.as_secs_f64() * 1_000.0);
+        let millis = elapsed.as_secs_f64() * 1_000.0;
+        if failed {
+            self.arrivals.add(now, millis - self.service_millis(rank.is_root));
+            return;
         }
+        let average = if rank.is_root { &mut self.root_millis } else { &mut self.call_millis };
+        average.add(millis);
     }
 
     /// The load to report to senders.
@@ -235,7 +233,7 @@
     /// Demand for the slots: arriving work by the work that they do, and the backlog.
     fn demand(&mut self, now: MilliTime) -> f64 {
         let limit = self.limit().max(1) as f64;
-        let arriving = self.arrivals.per_second(now) / 1_000.0 / limit;
+        let arriving = self.arrivals.per_second(now).max(0.0) / 1_000.0 / limit;
         arriving + BACKLOG_WEIGHT * self.waiting.len() as f64 / limit
     }
 
--- a/src/policy/return_time.rs
+++ b/src/policy/return_time.rs
@@ -41,6 +41,11 @@
 }
 
 impl ReturnSigns {
+    /// Forgets the routes that are not among those that `is_known` names.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.usual.retain(|route, _| is_known(route));
+    }
+
     /// Whether a request for `route` whose caller waits for `stated` was tried before.
     ///
     /// ```
--- a/src/policy/route_success.rs
+++ b/src/policy/route_success.rs
@@ -38,6 +38,11 @@
 }
 
 impl RouteSuccess {
+    /// Forgets the routes that are not among those that `is_known` names.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.routes.retain(|route, _| is_known(route));
+    }
+
     /// Takes in a root that was run.
     pub fn observe(&mut self, now: MilliTime, route: &Arc<str>, succeeded: bool) {
         let rate = RateAverage::new(WINDOW_SECONDS, now);
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, DATE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -169,7 +169,11 @@
         if parts.status.is_success() && (!is_signed || is_encoded || !is_proven) {
             return Err(ExchangeFault::Spoiled);
         }
-        let headers = list_headers(&end_to_end(&parts.headers));
+        let mut headers = end_to_end(&parts.headers);
+        // The daemon that the caller reached knows the id, and writes its own date.
+        headers.remove(&self.headers.request_id);
+        headers.remove(DATE);
+        let headers = list_headers(&headers, &body);
         let status = parts.status.as_u16();
         Ok(CallOutcome::Answered(BackendAnswer { status, headers, body }))
     }
@@ -245,10 +249,13 @@
     HeaderValue::from_str(text).ok()
 }
 
-/// Copies headers into the form in which they travel between daemons.
-pub(crate) fn list_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+/// Copies headers into the form in which they travel between daemons. The length of a body that is
+/// there follows from it.
+pub(crate) fn list_headers(headers: &HeaderMap, body: &Bytes) -> Vec<(String, Bytes)> {
     let copy = |value: &HeaderValue| Bytes::copy_from_slice(value.as_bytes());
-    headers.iter().map(|(name, value)| (name.as_str().to_owned(), copy(value))).collect()
+    let travels = |name: &HeaderName| *name != CONTENT_LENGTH || body.is_empty();
+    let headers = headers.iter().filter(|(name, _)| travels(name));
+    headers.map(|(name, value)| (name.as_str().to_owned(), copy(value))).collect()
 }
 
 fn says_close(headers: &HeaderMap) -> bool {
--- a/src/sidecar/process/backend_door.rs
+++ b/src/sidecar/process/backend_door.rs
@@ -129,7 +129,7 @@
         state.runs.end(&self.notes.context.request_id, self.entry);
         match self.failed {
             Some(failed) => {
-                let elapsed = (!failed).then(|| now.since(self.started));
+                let elapsed = now.since(self.started);
                 state.queue.finish(now, self.notes.context.rank, elapsed, failed);
             }
             None => state.queue.release(),
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -130,6 +130,9 @@
     /// Puts a newer version in force.
     pub(crate) fn install(&self, config: FleetConfig) {
         self.quota.install(&config);
+        let names = config.route_names();
+        self.success.lock().expect("no holder panics").retain(|name| names.contains(name));
+        self.returns.lock().expect("no holder panics").retain(|name| names.contains(name));
         self.config.store(Some(Arc::new(config)));
     }
 
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -170,7 +170,11 @@
         Ok(answer) => {
             let outcome = if answer.is_success() { "served" } else { "answered" };
             trace.end(outcome, Some(answer.status), None);
-            answer_response(answer)
+            let mut response = answer_response(answer);
+            if let Ok(id) = HeaderValue::from_str(&trace.request) {
+                response.headers_mut().insert(id_header, id);
+            }
+            response
         }
         Err(refusal) => {
             trace.end(refusal.code.execution().name(), None, Some(&refusal));
@@ -230,7 +234,7 @@
     let forward = ForwardRequest {
         method: parts.method.as_str().to_owned(),
         path: path.to_owned(),
-        headers: forward_headers(shared, &parts.headers),
+        headers: forward_headers(shared, &parts.headers, &body),
         body,
     };
     let due = match &admitted.parent {
@@ -411,7 +415,11 @@
 }
 
 /// The headers that a backend server gets as the caller sent them.
-fn forward_headers(shared: &SidecarShared, headers: &HeaderMap) -> Vec<(String, Bytes)> {
+fn forward_headers(
+    shared: &SidecarShared,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Vec<(String, Bytes)> {
     let names = shared.dialect.headers();
     let mut kept = end_to_end(headers);
     for name in [
@@ -427,7 +435,7 @@
     if let Some(host) = headers.get(HOST) {
         kept.insert(HOST, host.clone());
     }
-    list_headers(&kept)
+    list_headers(&kept, body)
 }
 
 async fn dispatch(
@@ -437,6 +445,7 @@
     trace: &mut RequestTrace<'_>,
 ) -> Result<BackendAnswer, RequestRefusal> {
     let remaining = call.deadline.until(shared.clock.now());
+    let service = call.context.service.clone();
     let mut dispatch = RequestDispatch::new(shared, call, admitted.route.attempts_max);
     let ended = timeout(remaining, dispatch.run()).await;
     trace.sends = dispatch.sends;
@@ -456,7 +465,7 @@
     match ended {
         Ok(DispatchEnd::Answered(answer)) => Ok(answer),
         Ok(DispatchEnd::NotRun { cause, room_in }) => {
-            Err(not_run(shared, admitted, cause, room_in))
+            Err(not_run(shared, admitted, &service, cause, room_in))
         }
         Ok(DispatchEnd::Unknown(cause)) => {
             Err(RequestRefusal::new(ResultCode::AnswerMissing, format!("{cause:?}")))
@@ -479,6 +488,7 @@
 fn not_run(
     shared: &SidecarShared,
     admitted: &AdmittedRequest,
+    service: &str,
     cause: NotRunCause,
     room_in: Option<Duration>,
 ) -> RequestRefusal {
@@ -487,6 +497,11 @@
         NotRunCause::TooLate => ResultCode::Overloaded,
         NotRunCause::BackendRefused => ResultCode::BackendRefused,
     };
-    let refusal = RequestRefusal::new(code, format!("{cause:?}"));
+    let mut reason = format!("{cause:?}");
+    if cause == NotRunCause::BackendRefused {
+        let share = shared.retries.lock().expect("no holder panics").share(service);
+        reason += &format!(", retries for {:.0}% of the roots", share * 100.0);
+    }
+    let refusal = RequestRefusal::new(code, reason);
     refusal.retry_after(return_time(shared, admitted, room_in))
 }
--- a/src/sidecar/version/fleet_config.rs
+++ b/src/sidecar/version/fleet_config.rs
@@ -1,6 +1,6 @@
 //! One whole version of the configuration.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -149,6 +149,11 @@
         self.organisations.get(name)
     }
 
+    /// The names of all routes.
+    pub fn route_names(&self) -> HashSet<Arc<str>> {
+        self.routes.values().flatten().map(|route| route.name.clone()).collect()
+    }
+
     /// Routes in force.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/tests/suite/policy/door.rs
+++ b/tests/suite/policy/door.rs
@@ -26,7 +26,7 @@
     for rank in [RequestRank::root(0), RequestRank::call(0)] {
         for _ in 0..200 {
             door.offer(MilliTime(0), request(rank, 9_000, 9_000));
-            door.finish(MilliTime(0), rank, Some(Duration::from_millis(50)), false);
+            door.finish(MilliTime(0), rank, Duration::from_millis(50), false);
         }
     }
     for _ in 0..LIMIT {
@@ -44,7 +44,7 @@
 }
 
 fn free_slot(door: &mut DoorQueue, now: u64) -> Option<(WaitTicket, WaitOutcome)> {
-    door.finish(MilliTime(now), RequestRank::call(0), Some(Duration::from_millis(50)), false);
+    door.finish(MilliTime(now), RequestRank::call(0), Duration::from_millis(50), false);
     door.next(MilliTime(now))
 }
 
@@ -140,3 +140,20 @@
     expect_that!(result.most_running, le(22));
     expect_that!(result.served["price"], gt(0));
 }
+
+/// A backend server that refuses at once holds no slot: what it refuses, and what is sent again for
+/// that, is no demand for its slots.
+#[gtest]
+fn load_refused_runs_no_demand() {
+    let mut door = DoorQueue::new(MilliTime(0));
+    door.set_slots(24);
+    let rank = RequestRank::call(0);
+    for step in 0..2_000_u64 {
+        let now = MilliTime(step * 2);
+        let deadline = now + Duration::from_secs(2);
+        door.offer(now, DoorRequest { rank, deadline, due: deadline });
+        door.finish(now, rank, Duration::from_millis(1), true);
+    }
+    // 500 requests a second of 50 ms each would ask for 25 slots, 1 ms each for half of one.
+    expect_that!(door.load(MilliTime(4_000)).demand_permille, lt(100));
+}
--- a/tests/suite/policy/model.rs
+++ b/tests/suite/policy/model.rs
@@ -186,7 +186,7 @@
         let kind = self.kinds[run.kind];
         let is_root = kind.calls == 0;
         let rank = RequestRank { is_root, priority: kind.priority };
-        self.door.finish(self.now, rank, Some(work), false);
+        self.door.finish(self.now, rank, work, false);
         let millis = work.as_secs_f32() * 1_000.0;
         add_cost(&mut run.costs, SlotCost { service: SERVICE.into(), millis });
         run.calls_left -= 1;
--- a/tests/suite/policy/returns.rs
+++ b/tests/suite/policy/returns.rs
@@ -113,6 +113,18 @@
     }
 }
 
+#[gtest]
+fn retain_forgets_removed_routes() {
+    let (mut signs, mut success) = (ReturnSigns::default(), RouteSuccess::default());
+    let route: Arc<str> = "stock".into();
+    signs.is_return(&route, DEADLINE);
+    (0..20).for_each(|step| success.observe(MilliTime(step * 20), &route, false));
+    signs.retain(|name| name != "stock");
+    success.retain(|name| name != "stock");
+    expect_that!(signs.is_return(&route, DEADLINE / 2), eq(false));
+    expect_that!(success.refuse(MilliTime(400), &route, 0.99), none());
+}
+
 #[gtest]
 fn is_return_by_remaining_time() {
     let mut signs = ReturnSigns::default();
--- a/tests/suite/policy/tokens.rs
+++ b/tests/suite/policy/tokens.rs
@@ -205,7 +205,9 @@
 fn set_terms_unchanged_keeps_loan() {
     let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
-    (0..20).for_each(|step| drop(share.take(MilliTime(step * 50))));
+    for step in 0..20 {
+        share.take(MilliTime(step * 50));
+    }
     share.receive(MilliTime(1_000), 4.0);
     share.set_terms(MilliTime(1_000), TERMS, DAEMONS, false, false);
     expect_that!(share.tokens(), near(4.0, 0.01));
