A fault soak of real daemons: lentilway-lab soak

Daemons run as processes behind links that delay, silence, cut one way and reset; they are frozen, killed, stopped and told to reload; the store refuses, falls silent, is slow and loses answers; upstreams crash and leave; keys are withdrawn and routes added. Faults come in series and overlap. Checked from what callers and upstreams see: at most once, truth of 'not run', own and signed answers, organisation and key, withdrawn keys, rates and retries over their windows, leaving, versions that never go back, no request lost around planned stops, recovery.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod latency;
 pub mod measure;
 pub mod members;
+pub mod soak;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Parser, ValueEnum};
 use lentilway_lab::demo::{DemoRow, render, run_demo};
@@ -10,6 +11,7 @@
 use lentilway_lab::experiment::scenario::PhaseTimes;
 use lentilway_lab::experiment::{Deployment, ExperimentPlan, Scenario, run_experiments};
 use lentilway_lab::latency::measure_latency;
+use lentilway_lab::soak::{SoakPlace, SoakTerms, run_soak};
 use lentilway_lab::{latency, measure};
 
 /// Demonstration, experiments and benchmarks of lentilway on loopback.
@@ -56,6 +58,8 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Play faults against daemons on the users' platform and check their promises
+    Soak(SoakArgs),
     /// Measure one mechanism and print its table
     Measure {
         /// The mechanism
@@ -66,6 +70,29 @@
     },
 }
 
+/// How many soaks of which kind.
+#[derive(Debug, clap::Args)]
+struct SoakArgs {
+    /// Seed of the first soak; the others follow it
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Soaks, one after the other
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Daemons of each soak
+    #[arg(long, default_value_t = 6)]
+    nodes: usize,
+    /// Seconds in which faults strike
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// The daemon's program; the one beside this program if it is not named
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Folder for settings files and logs; those of a soak without findings are removed
+    #[arg(long, default_value = "target/soak")]
+    folder: PathBuf,
+}
+
 /// The deployments.
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum DeploymentName {
@@ -119,6 +146,7 @@
             experiment(&plan, json).await
         }
         LabCommand::Latency { seconds, seed } => latency(seconds, seed).await,
+        LabCommand::Soak(args) => soak(args).await,
         LabCommand::Measure { mechanism, seed } => measure(mechanism, seed).await,
     }
 }
@@ -171,6 +199,38 @@
     ExitCode::SUCCESS
 }
 
+/// Plays the soaks and prints a line for each; fails if a promise was broken.
+async fn soak(args: SoakArgs) -> ExitCode {
+    let beside = std::env::current_exe().map(|own| own.with_file_name("lentilway"));
+    let Some(program) = args.program.or_else(|| beside.ok()) else {
+        eprintln!("error: --program is needed: the folder of this program is not known");
+        return ExitCode::FAILURE;
+    };
+    let mut ended = ExitCode::SUCCESS;
+    for seed in args.seed..args.seed + args.seeds {
+        let folder = args.folder.join(seed.to_string());
+        let place = SoakPlace { program: program.clone(), folder: folder.clone() };
+        let length = Duration::from_secs_f64(args.seconds);
+        match run_soak(place, &SoakTerms { seed, nodes: args.nodes, length }).await {
+            Ok(report) if report.broken.is_empty() => {
+                println!("seed {seed}: {report}");
+                // Files that stay behind take room and nothing else.
+                let _ = std::fs::remove_dir_all(&folder);
+            }
+            Ok(report) => {
+                println!("seed {seed}: {report}; logs in {}", folder.display());
+                report.broken.iter().for_each(|line| println!("  {line}"));
+                ended = ExitCode::FAILURE;
+            }
+            Err(error) => {
+                eprintln!("error: seed {seed}: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ended
+}
+
 async fn demo() -> ExitCode {
     match run_demo().await {
         Ok(rows) => {
--- /dev/null
+++ b/lab/src/soak/callers.rs
@@ -0,0 +1,146 @@
+//! Callers that keep their connections until they end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use lentilway_stand_ins::platform::{DEADLINE_MILLIS, HOST, REQUEST_ID, SIGNATURE};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::ledger::{CallerEnd, SentRequest, SoakLedger};
+
+/// How long a caller waits.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// Beyond its deadline an answer may still be on its way.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// One request in so many is left by its caller.
+const LEFT_ONE_IN: u32 = 40;
+const PAUSE_MAX: Duration = Duration::from_millis(60);
+
+/// A route that callers use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerRoute {
+    pub(crate) name: &'static str,
+    pub(crate) is_safe: bool,
+}
+
+/// An organisation and its keys.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerOrganisation {
+    pub(crate) name: &'static str,
+    pub(crate) keys: [&'static str; 2],
+}
+
+/// What callers of one daemon share.
+pub(crate) struct CallerGroup {
+    pub(crate) daemon: usize,
+    pub(crate) address: SocketAddr,
+    /// How often the daemon was started.
+    pub(crate) start: Arc<AtomicU32>,
+    /// Whether the platform would send callers there.
+    pub(crate) is_ready: watch::Receiver<bool>,
+    pub(crate) routes: watch::Receiver<Vec<CallerRoute>>,
+    pub(crate) organisations: Vec<CallerOrganisation>,
+    pub(crate) ledger: Arc<SoakLedger>,
+    pub(crate) next_id: Arc<AtomicU64>,
+    pub(crate) end: watch::Receiver<bool>,
+}
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// Sends requests one after the other until the end.
+pub(crate) async fn call_on(group: Arc<CallerGroup>, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut connection: Option<Connection> = None;
+    while !*group.end.borrow() {
+        sleep(PAUSE_MAX.mul_f64(random.random::<f64>())).await;
+        let is_open = connection.as_ref().is_some_and(|open| !open.is_closed());
+        if !is_open {
+            connection = if *group.is_ready.borrow() { connect(group.address).await } else { None };
+        }
+        if let Some(open) = connection.take() {
+            connection = send(&group, open, &mut random).await;
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<Connection> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // The request on the connection sees its error.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
+
+/// Sends one request; returns the connection if it can take another.
+async fn send(
+    group: &CallerGroup,
+    mut connection: Connection,
+    random: &mut StdRng,
+) -> Option<Connection> {
+    if connection.ready().await.is_err() {
+        return None;
+    }
+    let routes = group.routes.borrow().clone();
+    let route = routes[random.random_range(0..routes.len())];
+    let organisation = group.organisations[random.random_range(0..group.organisations.len())];
+    let key = organisation.keys[random.random_range(0..organisation.keys.len())];
+    let id = format!("request-{}", group.next_id.fetch_add(1, Ordering::SeqCst));
+    let request = Request::get(format!("/{}/{}", route.name, random.random::<u32>()))
+        .header("host", HOST)
+        .header(REQUEST_ID, &id)
+        .header(DEADLINE_MILLIS, DEADLINE.as_millis().to_string())
+        .header("authorization", format!("Bearer {key}"))
+        .body(Full::default());
+    let sent = SentRequest {
+        daemon: group.daemon,
+        start: group.start.load(Ordering::SeqCst),
+        route: route.name,
+        is_safe: route.is_safe,
+        organisation: organisation.name,
+        key: key.to_owned(),
+        at: Instant::now(),
+        end: None,
+    };
+    group.ledger.sent(&id, sent);
+    let is_left = random.random_ratio(1, LEFT_ONE_IN);
+    let patience = if is_left { PAUSE_MAX } else { DEADLINE + DEADLINE_MARGIN };
+    let answered =
+        timeout(patience, receive(&mut connection, request.expect("the path is plain"))).await;
+    let (end, keeps) = match answered {
+        Err(_) => (CallerEnd::Left, false),
+        Ok(None) => (CallerEnd::Cut, false),
+        Ok(Some((end, keeps))) => (end, keeps),
+    };
+    group.ledger.ended(&id, end);
+    keeps.then_some(connection)
+}
+
+async fn receive(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Option<(CallerEnd, bool)> {
+    let answer = connection.send_request(request).await.ok()?;
+    let (parts, body) = answer.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let closes = parts.headers.get("connection").is_some_and(|value| value == "close");
+    let end = CallerEnd::Answered {
+        status: parts.status.as_u16(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+        is_signed: parts.headers.contains_key(SIGNATURE),
+    };
+    Some((end, !closes))
+}
--- /dev/null
+++ b/lab/src/soak/fleet.rs
@@ -0,0 +1,172 @@
+//! Daemons as processes, with everything around them behind links that can fail.
+
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lentilway_stand_ins::link::FaultyLink;
+use lentilway_stand_ins::platform::store::StoreServer;
+use lentilway_stand_ins::platform::upstream::{UpstreamPlan, UpstreamServer};
+use lentilway_stand_ins::platform::{DaemonPlace, settings_file};
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::ledger::SoakLedger;
+
+/// Names the settings file of a daemon.
+const SETTINGS_VARIABLE: &str = "LENTILWAY_BOOT";
+const WORK: Duration = Duration::from_millis(15);
+
+/// What the soak needs of the machine.
+#[derive(Clone, Debug)]
+pub struct SoakPlace {
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// A folder for settings files and logs.
+    pub folder: PathBuf,
+}
+
+/// A daemon, its upstream and the links around them.
+pub(crate) struct SoakNode {
+    pub(crate) place: DaemonPlace,
+    settings: PathBuf,
+    process: Option<Child>,
+    /// How often the daemon was started.
+    pub(crate) starts: u32,
+    pub(crate) upstream: Option<UpstreamServer>,
+    upstream_listen: SocketAddr,
+    upstream_starts: u32,
+    calls: Vec<String>,
+    pub(crate) peer_link: FaultyLink,
+    pub(crate) store_link: FaultyLink,
+    pub(crate) upstream_link: FaultyLink,
+}
+
+/// A loopback address of its own for each node, so that its ports are free when it starts again.
+fn node_ip(number: usize) -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 128 | (high & 31) << 1 | (number >> 8) as u8 & 1, middle ^ low, number as u8)
+}
+
+fn free_port(ip: Ipv4Addr) -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind((ip, 0))?.local_addr()
+}
+
+impl SoakNode {
+    pub(crate) async fn start(
+        soak: &SoakPlace,
+        number: usize,
+        service: &str,
+        calls: Vec<String>,
+        store: &StoreServer,
+        ledger: &Arc<SoakLedger>,
+    ) -> std::io::Result<Self> {
+        let ip = node_ip(number + 1);
+        let inbound = free_port(ip)?;
+        let upstream_listen = free_port(ip)?;
+        let peer_link = FaultyLink::start(ip, inbound).await?;
+        let store_link = FaultyLink::start(ip, store.address()).await?;
+        let upstream_link = FaultyLink::start(ip, upstream_listen).await?;
+        let name = format!("node-{number}");
+        store.lead_through(&name, peer_link.address());
+        let place = DaemonPlace {
+            zone: format!("zone-{}", number % 2),
+            service: service.to_owned(),
+            upstream: upstream_link.address(),
+            outbound: free_port(ip)?,
+            inbound,
+            ready: free_port(ip)?,
+            control: free_port(ip)?,
+            first_port: free_port(ip)?.port().min(u16::MAX - 1),
+            store: store_link.address(),
+            name,
+        };
+        let settings = soak.folder.join(format!("{}.toml", place.name));
+        std::fs::write(&settings, settings_file(&place))?;
+        let mut node = SoakNode {
+            place,
+            settings,
+            process: None,
+            starts: 0,
+            upstream: None,
+            upstream_listen,
+            upstream_starts: 0,
+            calls,
+            peer_link,
+            store_link,
+            upstream_link,
+        };
+        node.start_daemon(soak)?;
+        node.start_upstream(ledger).await?;
+        Ok(node)
+    }
+
+    /// Starts the daemon's process.
+    pub(crate) fn start_daemon(&mut self, soak: &SoakPlace) -> std::io::Result<()> {
+        self.starts += 1;
+        let output = log_file(&soak.folder, &self.place.name, self.starts, "jsonl")?;
+        let errors = log_file(&soak.folder, &self.place.name, self.starts, "err")?;
+        let child = Command::new(&soak.program)
+            .arg("sidecar")
+            .env(SETTINGS_VARIABLE, &self.settings)
+            .stdout(Stdio::from(output))
+            .stderr(Stdio::from(errors))
+            .spawn()?;
+        self.process = Some(child);
+        Ok(())
+    }
+
+    /// Starts an upstream with a new id beside the daemon.
+    pub(crate) async fn start_upstream(&mut self, ledger: &Arc<SoakLedger>) -> std::io::Result<()> {
+        self.upstream = None;
+        self.upstream_starts += 1;
+        let plan = UpstreamPlan {
+            service: self.place.service.clone(),
+            work: WORK,
+            calls: self.calls.clone(),
+            announced: self.place.upstream,
+            outbound: self.place.outbound,
+            control: self.place.control,
+        };
+        let id = format!("i-{}-{}", self.place.name, self.upstream_starts);
+        let server = UpstreamServer::start(self.upstream_listen, id, plan, ledger.clone()).await?;
+        self.upstream = Some(server);
+        Ok(())
+    }
+
+    /// Sends a signal to the daemon's process, if it runs.
+    pub(crate) fn signal(&self, signal: Signal) {
+        if let Some(process) = &self.process {
+            // A process that has just ended takes no signal.
+            let _ = kill_process(Pid::from_child(process), signal);
+        }
+    }
+
+    /// Whether the daemon's process has ended; it is forgotten then.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let ended = match &mut self.process {
+            Some(process) => process.try_wait().is_ok_and(|status| status.is_some()),
+            None => true,
+        };
+        if ended {
+            self.process = None;
+        }
+        ended
+    }
+}
+
+impl Drop for SoakNode {
+    fn drop(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            // It may have ended already.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+fn log_file(folder: &Path, name: &str, start: u32, ending: &str) -> std::io::Result<File> {
+    File::create(folder.join(format!("{name}-{start}.{ending}")))
+}
--- /dev/null
+++ b/lab/src/soak/mod.rs
@@ -0,0 +1,401 @@
+//! A randomized soak: real daemons as processes, faults from outside, promises checked from what
+//! callers and upstreams see.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use lentilway_stand_ins::http::{HttpClient, exchange, http_client};
+use lentilway_stand_ins::link::LinkMode;
+use lentilway_stand_ins::platform::store::{StoreMode, StoreServer};
+use lentilway_stand_ins::platform::{READY_PATH, RoutePlan, TenantPlan, config_record};
+use rustix::process::Signal;
+use tokio::sync::{Mutex, watch};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+mod callers;
+mod fleet;
+mod ledger;
+mod plan;
+
+use callers::{CallerGroup, CallerOrganisation, CallerRoute, call_on};
+use fleet::SoakNode;
+pub use fleet::SoakPlace;
+use ledger::SoakLedger;
+use plan::{LinkFault, NodeLink, PlannedFault, SoakFault, StoreFault, draw_plan};
+
+/// Services of the nodes: entries whose runs call a deep service.
+const SERVICES: [&str; 2] = ["shop", "stock"];
+const CALLERS_PER_NODE: u64 = 2;
+/// The platform takes a daemon out after two misses, a second apart.
+const READY_INTERVAL: Duration = Duration::from_millis(500);
+const READY_TIMEOUT: Duration = Duration::from_millis(400);
+/// The platform kills a process that has not ended by then.
+const STOP_BOUND: Duration = Duration::from_secs(6);
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+const POLL: Duration = Duration::from_millis(20);
+/// After the last fault everything is to work again within this time.
+const RECOVERY_BOUND: Duration = Duration::from_secs(15);
+/// Time in which the share that is served after the recovery is counted.
+const RECOVERED_SPAN: Duration = Duration::from_secs(2);
+/// Of the requests after the recovery at least this part is served.
+const RECOVERED_PART: f64 = 0.25;
+/// A fleet that does not serve by then has failed to start.
+const START_BOUND: Duration = Duration::from_secs(60);
+const DELAY: Duration = Duration::from_millis(300);
+const STORE_DELAY: Duration = Duration::from_millis(200);
+const LOST_PART: f64 = 0.5;
+
+const OPEN: CallerOrganisation = CallerOrganisation { name: "nord", keys: ["nord-1", "nord-2"] };
+const BOUNDED: CallerOrganisation = CallerOrganisation { name: "sued", keys: ["sued-1", "sued-2"] };
+const BOUNDED_RATE: f64 = 20.0;
+/// The keys that are withdrawn, in order; each organisation keeps one.
+const WITHDRAWN_KEYS: [&str; 2] = ["nord-2", "sued-2"];
+const ADDED_ROUTES: [&str; 4] = ["added-1", "added-2", "added-3", "added-4"];
+
+/// How a soak is played.
+#[derive(Clone, Debug)]
+pub struct SoakTerms {
+    /// Draws the faults and everything else.
+    pub seed: u64,
+    /// Daemons.
+    pub nodes: usize,
+    /// Time in which faults strike.
+    pub length: Duration,
+}
+
+/// What a soak showed.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// Faults that were played.
+    pub faults: usize,
+    /// Requests of callers that ended, and those that were served.
+    pub requests: (usize, usize),
+    /// A line for each broken promise.
+    pub broken: Vec<String>,
+}
+
+impl std::fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (ended, served) = self.requests;
+        let (faults, broken) = (self.faults, self.broken.len());
+        write!(formatter, "{faults} faults, {served} of {ended} served, {broken} findings")
+    }
+}
+
+struct Soak {
+    place: SoakPlace,
+    store: StoreServer,
+    nodes: Vec<Mutex<SoakNode>>,
+    starts: Vec<Arc<AtomicU32>>,
+    ledger: Arc<SoakLedger>,
+    config: Mutex<SoakConfig>,
+    routes: watch::Sender<Vec<CallerRoute>>,
+}
+
+#[derive(Default)]
+struct SoakConfig {
+    version: u64,
+    withdrawn: usize,
+    added: usize,
+}
+
+/// Plays the soak of a seed.
+///
+/// # Errors
+/// The system's reason if a process or a port cannot be had.
+pub async fn run_soak(place: SoakPlace, terms: &SoakTerms) -> std::io::Result<SoakReport> {
+    std::fs::create_dir_all(&place.folder)?;
+    let plan = draw_plan(terms.seed, terms.nodes, terms.length);
+    let soak = Arc::new(Soak::start(place, terms.nodes).await?);
+    let (end, ended) = watch::channel(false);
+    let mut tasks = soak.start_callers(terms.seed, &ended).await;
+    if !soak.wait_served().await {
+        return Ok(SoakReport { faults: 0, requests: (0, 0), broken: vec!["no start".to_owned()] });
+    }
+    soak.play(&plan, terms.length).await;
+    let mut broken = soak.check_recovery().await;
+    end.send_replace(true);
+    while tasks.join_next().await.is_some() {}
+    let rates = HashMap::from([(BOUNDED.name, BOUNDED_RATE)]);
+    broken.extend(soak.ledger.broken_promises(&rates));
+    let epoch = Instant::now() - terms.length - RECOVERY_BOUND - START_BOUND;
+    let requests = soak.ledger.served_since(epoch);
+    Ok(SoakReport { faults: plan.len(), requests, broken })
+}
+
+impl Soak {
+    async fn start(place: SoakPlace, count: usize) -> std::io::Result<Self> {
+        let store = StoreServer::start((Ipv4Addr::LOCALHOST, 0).into()).await?;
+        let ledger = Arc::new(SoakLedger::default());
+        let soak_config = SoakConfig::default();
+        let mut nodes = Vec::new();
+        for number in 0..count {
+            let service = SERVICES[number % SERVICES.len()];
+            let calls = match service {
+                "shop" => vec!["/inner/1".to_owned(), "/inner/2".to_owned()],
+                _ => Vec::new(),
+            };
+            let node = SoakNode::start(&place, number, service, calls, &store, &ledger).await?;
+            nodes.push(Mutex::new(node));
+        }
+        let starts = (0..count).map(|_| Arc::new(AtomicU32::new(1))).collect();
+        let routes = watch::Sender::new(vec![
+            CallerRoute { name: "read", is_safe: true },
+            CallerRoute { name: "write", is_safe: false },
+        ]);
+        let config = Mutex::new(soak_config);
+        let soak = Soak { place, store, nodes, starts, ledger, config, routes };
+        soak.write_config(|_| {}).await;
+        Ok(soak)
+    }
+
+    /// Changes the configuration and writes it as a new version.
+    async fn write_config(&self, change: impl FnOnce(&mut SoakConfig)) {
+        let mut config = self.config.lock().await;
+        change(&mut config);
+        config.version += 1;
+        let route = |name: &str, service: &str, is_safe, is_public| RoutePlan {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            is_safe,
+            is_public,
+        };
+        let mut routes = vec![
+            route("read", "shop", true, false),
+            route("write", "shop", false, false),
+            route("inner", "stock", true, true),
+        ];
+        let added = &ADDED_ROUTES[..config.added];
+        routes.extend(added.iter().map(|name| route(name, "stock", true, false)));
+        let gone = &WITHDRAWN_KEYS[..config.withdrawn];
+        let tenants =
+            [(OPEN, 0.0), (BOUNDED, BOUNDED_RATE)].map(|(organisation, rate)| TenantPlan {
+                name: organisation.name.to_owned(),
+                keys: organisation
+                    .keys
+                    .iter()
+                    .filter(|key| !gone.contains(key))
+                    .map(|key| (*key).to_owned())
+                    .collect(),
+                rate,
+            });
+        self.store.write_config(&config_record(config.version, &routes, &tenants));
+    }
+
+    async fn start_callers(
+        self: &Arc<Self>,
+        seed: u64,
+        end: &watch::Receiver<bool>,
+    ) -> JoinSet<()> {
+        let next_id = Arc::new(AtomicU64::new(0));
+        let mut tasks = JoinSet::new();
+        for (daemon, node) in self.nodes.iter().enumerate() {
+            let place = node.lock().await.place.clone();
+            let (ready, is_ready) = watch::channel(false);
+            tasks.spawn(watch_ready(place.ready, ready, end.clone()));
+            let group = Arc::new(CallerGroup {
+                daemon,
+                address: place.outbound,
+                start: self.starts[daemon].clone(),
+                is_ready,
+                routes: self.routes.subscribe(),
+                organisations: vec![OPEN, BOUNDED],
+                ledger: self.ledger.clone(),
+                next_id: next_id.clone(),
+                end: end.clone(),
+            });
+            for caller in 0..CALLERS_PER_NODE {
+                let seed = seed ^ ((daemon as u64 * CALLERS_PER_NODE + caller) << 32);
+                tasks.spawn(call_on(group.clone(), seed));
+            }
+        }
+        tasks
+    }
+
+    /// Waits until requests are served; `false` if they are not in time.
+    async fn wait_served(&self) -> bool {
+        let started = Instant::now();
+        let served = async {
+            while self.ledger.served_since(started).1 < self.nodes.len() * 2 {
+                sleep(POLL).await;
+            }
+        };
+        timeout(START_BOUND, served).await.is_ok()
+    }
+
+    async fn play(self: &Arc<Self>, plan: &[PlannedFault], length: Duration) {
+        let started = Instant::now();
+        let mut strikes = JoinSet::new();
+        for planned in plan {
+            sleep(planned.at.saturating_sub(started.elapsed())).await;
+            let (soak, planned) = (self.clone(), *planned);
+            strikes.spawn(async move { soak.strike(planned).await });
+        }
+        sleep(length.saturating_sub(started.elapsed())).await;
+        while strikes.join_next().await.is_some() {}
+    }
+
+    async fn strike(&self, planned: PlannedFault) {
+        let started = Instant::now();
+        match planned.fault {
+            SoakFault::Freeze(node) => {
+                self.nodes[node].lock().await.signal(Signal::STOP);
+                sleep(planned.lasts).await;
+                self.nodes[node].lock().await.signal(Signal::CONT);
+            }
+            SoakFault::Kill(node) => self.restart(node, Signal::KILL).await,
+            SoakFault::Stop(node) => {
+                self.ledger.stopped(node);
+                self.restart(node, Signal::TERM).await;
+            }
+            SoakFault::Reload(node) => self.nodes[node].lock().await.signal(Signal::HUP),
+            SoakFault::CrashUpstream(node) => self.replace_upstream(node, planned.lasts).await,
+            SoakFault::DrainUpstream(node) => {
+                if let Some(upstream) = &self.nodes[node].lock().await.upstream {
+                    upstream.drain();
+                }
+                sleep(STOP_BOUND / 2).await;
+                self.replace_upstream(node, Duration::ZERO).await;
+            }
+            SoakFault::Link(node, link, fault) => {
+                self.fail_link(node, link, fault, planned.lasts).await
+            }
+            SoakFault::Store(fault) => {
+                self.store.set_mode(store_mode(fault));
+                sleep(planned.lasts).await;
+                self.store.set_mode(StoreMode::Sound);
+            }
+            SoakFault::Withdraw => {
+                self.write_config(|config| {
+                    config.withdrawn = (config.withdrawn + 1).min(WITHDRAWN_KEYS.len());
+                })
+                .await;
+                let withdrawn = self.config.lock().await.withdrawn;
+                self.ledger.withdrawn(WITHDRAWN_KEYS[withdrawn - 1]);
+            }
+            SoakFault::AddRoute => {
+                self.write_config(|config| {
+                    config.added = (config.added + 1).min(ADDED_ROUTES.len());
+                })
+                .await;
+                let added = self.config.lock().await.added;
+                self.routes.send_modify(|routes| {
+                    let name = ADDED_ROUTES[added - 1];
+                    if routes.iter().all(|route| route.name != name) {
+                        routes.push(CallerRoute { name, is_safe: true });
+                    }
+                });
+            }
+        }
+        if !planned.fault.is_planned_work() {
+            self.ledger.fault(started);
+        }
+    }
+
+    /// Ends a daemon with `signal`, by force after the platform's bound, and starts it again.
+    async fn restart(&self, number: usize, signal: Signal) {
+        self.nodes[number].lock().await.signal(signal);
+        let told = Instant::now();
+        loop {
+            let mut node = self.nodes[number].lock().await;
+            if node.has_ended() {
+                break;
+            }
+            if told.elapsed() > STOP_BOUND {
+                node.signal(Signal::KILL);
+            }
+            drop(node);
+            sleep(POLL).await;
+        }
+        sleep(RESTART_PAUSE).await;
+        let mut node = self.nodes[number].lock().await;
+        // Another strike of the series may have started it already.
+        if node.has_ended() {
+            self.starts[number].fetch_add(1, Ordering::SeqCst);
+            node.start_daemon(&self.place).expect("the program was started before");
+        }
+    }
+
+    async fn replace_upstream(&self, number: usize, pause: Duration) {
+        self.nodes[number].lock().await.upstream = None;
+        sleep(pause).await;
+        let mut node = self.nodes[number].lock().await;
+        // Connections of the old one may hold its port for a moment.
+        while node.start_upstream(&self.ledger).await.is_err() {
+            sleep(POLL).await;
+        }
+    }
+
+    async fn fail_link(&self, number: usize, link: NodeLink, fault: LinkFault, lasts: Duration) {
+        let mode = match fault {
+            LinkFault::Delay => LinkMode::Delay(DELAY),
+            LinkFault::Silent => LinkMode::Silent,
+            LinkFault::OneWay => LinkMode::OneWay,
+            LinkFault::Reset => LinkMode::Reset,
+        };
+        self.set_link(number, link, mode).await;
+        sleep(lasts).await;
+        self.set_link(number, link, LinkMode::Pass).await;
+    }
+
+    async fn set_link(&self, number: usize, link: NodeLink, mode: LinkMode) {
+        let node = self.nodes[number].lock().await;
+        match link {
+            NodeLink::Peers => node.peer_link.set_mode(mode),
+            NodeLink::Store => node.store_link.set_mode(mode),
+            NodeLink::Upstream => node.upstream_link.set_mode(mode),
+        }
+    }
+
+    /// Waits until the fleet serves again.
+    async fn check_recovery(&self) -> Vec<String> {
+        let faults_ended = Instant::now();
+        loop {
+            let from = Instant::now();
+            sleep(RECOVERED_SPAN).await;
+            let (all, served) = self.ledger.served_since(from);
+            if all > 0 && served as f64 >= RECOVERED_PART * all as f64 {
+                return Vec::new();
+            }
+            if faults_ended.elapsed() > RECOVERY_BOUND {
+                return vec![format!("not recovered: {served} of {all} served")];
+            }
+        }
+    }
+}
+
+fn store_mode(fault: StoreFault) -> StoreMode {
+    match fault {
+        StoreFault::Busy => StoreMode::Busy,
+        StoreFault::Silent => StoreMode::Silent,
+        StoreFault::Slow => StoreMode::Slow(STORE_DELAY),
+        StoreFault::LosesAnswers => StoreMode::LosesAnswers(LOST_PART),
+    }
+}
+
+/// Asks for readiness as the platform does.
+async fn watch_ready(
+    address: std::net::SocketAddr,
+    ready: watch::Sender<bool>,
+    end: watch::Receiver<bool>,
+) {
+    let client = http_client();
+    let mut misses = 0;
+    while !*end.borrow() {
+        let is_ready = timeout(READY_TIMEOUT, ask_ready(&client, address)).await.unwrap_or(false);
+        misses = if is_ready { 0 } else { misses + 1 };
+        ready.send_replace(misses < 2 && (is_ready || *ready.borrow()));
+        sleep(READY_INTERVAL).await;
+    }
+}
+
+async fn ask_ready(client: &HttpClient, address: std::net::SocketAddr) -> bool {
+    let uri = format!("http://{address}{READY_PATH}");
+    let request = hyper::Request::get(uri).body(Default::default());
+    let answer = exchange(client, request.expect("the address makes a URI")).await;
+    answer.is_ok_and(|(status, ..)| status.is_success())
+}
--- /dev/null
+++ b/lab/src/soak/plan.rs
@@ -0,0 +1,124 @@
+//! The faults of a soak, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Faults of a run for each second of it.
+const FAULTS_PER_SECOND: f64 = 1.2;
+
+/// A fault at one node or at what all share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum SoakFault {
+    /// The daemon is frozen.
+    Freeze(usize),
+    /// The daemon is killed, and started again afterwards.
+    Kill(usize),
+    /// The daemon is told to stop, and started again once it has.
+    Stop(usize),
+    /// The daemon is told to read its settings again.
+    Reload(usize),
+    /// The upstream ends without a word; another one starts there afterwards.
+    CrashUpstream(usize),
+    /// The upstream leaves as planned; another one starts there afterwards.
+    DrainUpstream(usize),
+    /// A link of the node fails.
+    Link(usize, NodeLink, LinkFault),
+    /// The store refuses, falls silent, is slow or loses answers.
+    Store(StoreFault),
+    /// A key of an organisation is withdrawn.
+    Withdraw,
+    /// A route is added.
+    AddRoute,
+}
+
+/// A link of a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum NodeLink {
+    Peers,
+    Store,
+    Upstream,
+}
+
+/// How a link fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum LinkFault {
+    Delay,
+    Silent,
+    OneWay,
+    Reset,
+}
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum StoreFault {
+    Busy,
+    Silent,
+    Slow,
+    LosesAnswers,
+}
+
+/// A fault with its times.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PlannedFault {
+    pub(crate) at: Duration,
+    pub(crate) lasts: Duration,
+    pub(crate) fault: SoakFault,
+}
+
+impl SoakFault {
+    /// Whether the promise for planned work holds through it.
+    pub(crate) fn is_planned_work(self) -> bool {
+        use SoakFault::{AddRoute, DrainUpstream, Reload, Stop, Withdraw};
+        matches!(self, Stop(_) | Reload(_) | DrainUpstream(_) | Withdraw | AddRoute)
+    }
+}
+
+/// The faults of a run of `length` over `nodes` nodes, in order. Some seeds have planned work only.
+pub(crate) fn draw_plan(seed: u64, nodes: usize, length: Duration) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let only_planned = random.random_bool(0.25);
+    let count = (length.as_secs_f64() * FAULTS_PER_SECOND) as usize;
+    let mut plan: Vec<PlannedFault> = Vec::new();
+    while plan.len() < count {
+        let fault = draw_fault(&mut random, nodes);
+        if only_planned && !fault.is_planned_work() {
+            continue;
+        }
+        let at = length.mul_f64(random.random_range(0.0..0.8));
+        let lasts = Duration::from_millis(random.random_range(200..4_000));
+        // Faults come in series: the same strikes again soon after.
+        for strike in 0..random.random_range(1..3_u32) {
+            let at = at + (lasts + Duration::from_millis(300)) * strike;
+            plan.push(PlannedFault { at, lasts, fault });
+        }
+    }
+    plan.sort_by_key(|planned| planned.at);
+    plan
+}
+
+fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
+    let node = random.random_range(0..nodes);
+    match random.random_range(0..14) {
+        0 | 1 => SoakFault::Freeze(node),
+        2 => SoakFault::Kill(node),
+        3 | 4 => SoakFault::Stop(node),
+        5 => SoakFault::Reload(node),
+        6 => SoakFault::CrashUpstream(node),
+        7 => SoakFault::DrainUpstream(node),
+        8..=10 => {
+            let links = [NodeLink::Peers, NodeLink::Store, NodeLink::Upstream];
+            let faults = [LinkFault::Delay, LinkFault::Silent, LinkFault::OneWay, LinkFault::Reset];
+            let link = links[random.random_range(0..links.len())];
+            SoakFault::Link(node, link, faults[random.random_range(0..faults.len())])
+        }
+        11 => {
+            let faults =
+                [StoreFault::Busy, StoreFault::Silent, StoreFault::Slow, StoreFault::LosesAnswers];
+            SoakFault::Store(faults[random.random_range(0..faults.len())])
+        }
+        12 => SoakFault::Withdraw,
+        _ => SoakFault::AddRoute,
+    }
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod backend;
 pub mod caller;
 pub mod http;
+pub mod link;
 pub mod log;
+pub mod platform;
 pub mod relay;
--- /dev/null
+++ b/stand-ins/src/platform/store.rs
@@ -0,0 +1,223 @@
+//! The platform's metadata store: keyed topics with one partition each, in memory.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use rand::Rng;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::http::{ReceivedRequest, ServerReply, json_response, serve};
+
+const OPERATOR_TOPIC: &str = "keyed.op";
+const CONFIG_KEY: &str = "config";
+/// The product's own topic, in which daemons find each other.
+const DIRECTORY_TOPIC: &str = "keyed.daemons";
+const LENGTH_BYTES: usize = 4;
+
+/// What goes wrong at the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum StoreMode {
+    /// Nothing.
+    #[default]
+    Sound,
+    /// It refuses every call undone.
+    Busy,
+    /// It does not answer.
+    Silent,
+    /// Each answer is this much later.
+    Slow(Duration),
+    /// This part of the writes is done and not answered.
+    LosesAnswers(f64),
+}
+
+type KeyedRecord = (String, Bytes);
+
+#[derive(Debug, Default)]
+struct StoreState {
+    topics: Mutex<HashMap<String, Vec<KeyedRecord>>>,
+    mode: Mutex<StoreMode>,
+    links: Mutex<HashMap<String, SocketAddr>>,
+    appended: Notify,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct StoreServer {
+    address: SocketAddr,
+    state: Arc<StoreState>,
+    _tasks: JoinSet<()>,
+}
+
+impl StoreServer {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// The system's reason if the address cannot be opened.
+    pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let state = Arc::new(StoreState::default());
+        let shared = state.clone();
+        let (address, tasks) =
+            serve(address, move |request| handle(shared.clone(), request)).await?;
+        Ok(StoreServer { address, state, _tasks: tasks })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_mode(&self, mode: StoreMode) {
+        *self.state.mode.lock().expect("no holder panics") = mode;
+    }
+
+    /// Writes a configuration, as the operator does; it is acknowledged when this returns.
+    pub fn write_config(&self, config: &Value) {
+        let value = config.to_string().into();
+        self.state.append(OPERATOR_TOPIC, vec![(CONFIG_KEY.to_owned(), value)]);
+    }
+
+    /// Lets other daemons find the daemon `name` at `link` instead of where it listens.
+    pub fn lead_through(&self, name: &str, link: SocketAddr) {
+        self.state.links.lock().expect("no holder panics").insert(name.to_owned(), link);
+    }
+}
+
+impl StoreState {
+    fn append(&self, topic: &str, records: Vec<KeyedRecord>) -> usize {
+        let mut topics = self.topics.lock().expect("no holder panics");
+        let known = topics.entry(topic.to_owned()).or_default();
+        let offset = known.len();
+        known.extend(records);
+        drop(topics);
+        self.appended.notify_waiters();
+        offset
+    }
+
+    /// The record of a daemon, leading through its link.
+    fn lead(&self, (key, value): KeyedRecord) -> KeyedRecord {
+        let link = self.links.lock().expect("no holder panics").get(&key).copied();
+        let entry = serde_json::from_slice::<Value>(&value);
+        let (Some(link), Ok(mut entry)) = (link, entry) else {
+            return (key, value);
+        };
+        entry["address"] = json!(link.to_string());
+        (key, entry.to_string().into())
+    }
+
+    fn newest(&self, topic: &str) -> Value {
+        let topics = self.topics.lock().expect("no holder panics");
+        let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
+        let mut newest = BTreeMap::new();
+        for (offset, (key, value)) in records.iter().enumerate() {
+            newest.insert(key, (offset, value));
+        }
+        let kept = newest.into_iter().filter(|(_, (_, value))| !value.is_empty());
+        let items: Vec<Value> = kept
+            .map(|(key, (offset, value))| {
+                json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
+            })
+            .collect();
+        json!({"items": items, "has_more": false, "end_offset": records.len()})
+    }
+
+    /// The end, the first offset and the records from `from`; `None` without records.
+    fn read(&self, topic: &str, from: usize) -> (Vec<u8>, bool) {
+        let topics = self.topics.lock().expect("no holder panics");
+        let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
+        let mut body = (records.len() as u64).to_be_bytes().to_vec();
+        body.extend_from_slice(&0_u64.to_be_bytes());
+        for (key, value) in records.iter().skip(from) {
+            let length = (1 + key.len() + value.len()) as u32;
+            body.extend_from_slice(&length.to_be_bytes());
+            body.push(key.len() as u8);
+            body.extend_from_slice(key.as_bytes());
+            body.extend_from_slice(value);
+        }
+        (body, records.len() > from)
+    }
+}
+
+async fn handle(state: Arc<StoreState>, request: ReceivedRequest) -> ServerReply {
+    let mode = *state.mode.lock().expect("no holder panics");
+    match mode {
+        StoreMode::Busy => return refuse(StatusCode::SERVICE_UNAVAILABLE),
+        StoreMode::Silent => std::future::pending().await,
+        StoreMode::Slow(delay) => sleep(delay).await,
+        StoreMode::Sound | StoreMode::LosesAnswers(_) => {}
+    }
+    let topic = query(&request, "topic").unwrap_or_default().to_owned();
+    match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/api/log-newest") => {
+            ServerReply::Send(json_response(StatusCode::OK, &state.newest(&topic)))
+        }
+        ("GET", "/api/log-read") => read(&state, &topic, &request).await,
+        ("POST", "/api/log-append") if topic == OPERATOR_TOPIC => refuse(StatusCode::FORBIDDEN),
+        ("POST", "/api/log-append") => {
+            let Some(mut records) = parse_records(&request.body) else {
+                return refuse(StatusCode::BAD_REQUEST);
+            };
+            if topic == DIRECTORY_TOPIC {
+                records = records.into_iter().map(|record| state.lead(record)).collect();
+            }
+            let count = records.len();
+            let offset = state.append(&topic, records);
+            match mode {
+                StoreMode::LosesAnswers(part) if rand::rng().random_bool(part) => {
+                    ServerReply::Reset
+                }
+                _ => {
+                    let ends = json!({"offset": offset, "end_offset": offset + count});
+                    ServerReply::Send(json_response(StatusCode::OK, &ends))
+                }
+            }
+        }
+        _ => refuse(StatusCode::NOT_FOUND),
+    }
+}
+
+fn refuse(status: StatusCode) -> ServerReply {
+    ServerReply::Send(json_response(status, &json!({})))
+}
+
+fn query<'a>(request: &'a ReceivedRequest, name: &str) -> Option<&'a str> {
+    let mut pairs = request.query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+fn parse_records(mut body: &[u8]) -> Option<Vec<KeyedRecord>> {
+    let mut records = Vec::new();
+    while let Some((prefix, rest)) = body.split_first_chunk::<LENGTH_BYTES>() {
+        let (record, rest) = rest.split_at_checked(u32::from_be_bytes(*prefix) as usize)?;
+        let (length, record) = record.split_first()?;
+        let (key, value) = record.split_at_checked(usize::from(*length))?;
+        records.push((String::from_utf8(key.to_vec()).ok()?, Bytes::copy_from_slice(value)));
+        body = rest;
+    }
+    body.is_empty().then_some(records)
+}
+
+async fn read(state: &StoreState, topic: &str, request: &ReceivedRequest) -> ServerReply {
+    let from = request.query_number("from").unwrap_or(0) as usize;
+    let wait = Duration::from_millis(request.query_number("wait_ms").unwrap_or(0));
+    let end = Instant::now() + wait;
+    loop {
+        let appended = state.appended.notified();
+        let (body, has_records) = state.read(topic, from);
+        if has_records || Instant::now() >= end {
+            return ServerReply::Send(Response::new(Full::new(body.into())));
+        }
+        // An append or the end of the wait: the records are read again either way.
+        let _ = timeout(end - Instant::now(), appended).await;
+    }
+}
