--- a/lab/src/soak/ledger.rs
+++ b/lab/src/soak/ledger.rs
@@ -22,9 +22,16 @@
 
 /// How a request of a caller ended.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum CallerEnd {
-    /// With this status; a success with the body, and whether it was signed.
-    Answered { status: u16, body: String, is_signed: bool },
+pub enum CallerEnd {
+    /// With an answer.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Its whole body.
+        body: String,
+        /// Whether an upstream signed it.
+        is_signed: bool,
+    },
     /// The connection ended first.
     Cut,
     /// The caller left.
@@ -33,16 +40,23 @@
 
 /// A request of a caller.
 #[derive(Clone, Debug)]
-pub(crate) struct SentRequest {
-    /// The daemon that it was sent to, and how often that had been started.
-    pub(crate) daemon: usize,
-    pub(crate) start: u32,
-    pub(crate) route: &'static str,
-    pub(crate) is_safe: bool,
-    pub(crate) organisation: &'static str,
-    pub(crate) key: String,
-    pub(crate) at: Instant,
-    pub(crate) end: Option<(Instant, CallerEnd)>,
+pub struct SentRequest {
+    /// The daemon that it was sent to.
+    pub daemon: usize,
+    /// How often that daemon had been started.
+    pub start: u32,
+    /// The route's name.
+    pub route: &'static str,
+    /// Whether it may run twice.
+    pub is_safe: bool,
+    /// The organisation that the key belongs to.
+    pub organisation: &'static str,
+    /// The key that came with it.
+    pub key: String,
+    /// When it was sent.
+    pub at: Instant,
+    /// When and how it ended; `None` while the caller waits.
+    pub end: Option<(Instant, CallerEnd)>,
 }
 
 #[derive(Debug, Default)]
@@ -61,14 +75,13 @@
 
 /// Everything that was seen.
 #[derive(Debug, Default)]
-pub(crate) struct SoakLedger {
+pub struct SoakLedger {
     state: Mutex<LedgerState>,
 }
 
 impl UpstreamObserver for SoakLedger {
     fn started(&self, run: &UpstreamRun) {
-        let entry = (Instant::now(), run.clone());
-        self.lock().runs.entry(run.request_id.clone()).or_default().push(entry);
+        self.ran(run, Instant::now());
     }
 
     fn leave_acknowledged(&self, instance: &str) {
@@ -77,30 +90,41 @@
 }
 
 impl SoakLedger {
-    pub(crate) fn sent(&self, id: &str, request: SentRequest) {
+    /// Notes that a request began to run.
+    pub fn ran(&self, run: &UpstreamRun, at: Instant) {
+        let mut state = self.lock();
+        state.runs.entry(run.request_id.clone()).or_default().push((at, run.clone()));
+    }
+
+    /// Notes that a caller sent the request with this id.
+    pub fn sent(&self, id: &str, request: SentRequest) {
         self.lock().sent.insert(id.to_owned(), request);
     }
 
-    pub(crate) fn ended(&self, id: &str, end: CallerEnd) {
+    /// Notes how the request with this id ended for its caller.
+    pub fn ended(&self, id: &str, end: CallerEnd) {
         if let Some(request) = self.lock().sent.get_mut(id) {
             request.end = Some((Instant::now(), end));
         }
     }
 
-    pub(crate) fn withdrawn(&self, key: &str) {
+    /// Notes that the withdrawal of a key was acknowledged.
+    pub fn withdrawn(&self, key: &str) {
         self.lock().withdrawn.insert(key.to_owned(), Instant::now());
     }
 
-    pub(crate) fn fault(&self, from: Instant) {
+    /// Notes that an unplanned fault lasted since `from`.
+    pub fn fault(&self, from: Instant) {
         self.lock().faults.push((from, Instant::now()));
     }
 
-    pub(crate) fn stopped(&self, daemon: usize) {
+    /// Notes that a daemon is told to stop.
+    pub fn stopped(&self, daemon: usize) {
         self.lock().stops.push((daemon, Instant::now()));
     }
 
     /// Requests sent since `from` and how many of them were served.
-    pub(crate) fn served_since(&self, from: Instant) -> (usize, usize) {
+    pub fn served_since(&self, from: Instant) -> (usize, usize) {
         let state = self.lock();
         let ended = state.sent.values().filter(|sent| sent.at >= from && sent.end.is_some());
         let (mut all, mut served) = (0, 0);
@@ -111,8 +135,8 @@
         (all, served)
     }
 
-    /// Every broken promise, a line each.
-    pub(crate) fn broken_promises(&self, rates: &HashMap<&'static str, f64>) -> Vec<String> {
+    /// Every broken promise, a line each. `rates` are those of the organisations that have one.
+    pub fn broken_promises(&self, rates: &HashMap<&'static str, f64>) -> Vec<String> {
         let state = self.lock();
         let mut broken = Vec::new();
         for (id, request) in &state.sent {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -18,7 +18,7 @@
 
 mod callers;
 mod fleet;
-mod ledger;
+pub mod ledger;
 mod plan;
 
 use callers::{CallerGroup, CallerOrganisation, CallerRoute, call_on};
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod session;
 mod settings;
 mod sidecar;
+mod soak;
 mod ticket_command;
 mod ticket_decoders;
 mod ticket_evidence;
