Daemons that follow a reader of the store read by themselves in time for a change

Change: the configuration is read with waits of 1 s, readers are asked every 0.4 s, and a daemon reads by itself when its proof is 1.6 s old, to the moment. The terms stand beside the proof's rule. Test: readers::follow_for_reader_turned_away plays every moment of a reader's failure against the bound.

--- a/src/policy/evidence.rs
+++ b/src/policy/evidence.rs
@@ -2,6 +2,9 @@
 //!
 //! Answers the pattern of a daemon that is cut off, frozen or refused by the store while keys are
 //! withdrawn: it must stop serving keyed requests before the bound for withdrawn keys has passed.
+//!
+//! Answers a store that turns away just the daemons that read it for the others, too: those read by
+//! themselves in time for the change that nobody told them of.
 
 use std::time::Duration;
 
@@ -56,3 +59,49 @@
 pub fn proven_at(asked: MilliTime, is_empty: bool, wait: Duration) -> MilliTime {
     if is_empty { asked + wait } else { asked }
 }
+
+/// How a topic is read by the reader of an availability zone and followed by the others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadTerms {
+    /// How long a read waits for changes.
+    pub changes_wait: Duration,
+    /// Time between questions to the reader.
+    pub ask_interval: Duration,
+    /// How old proof of the reader may become before a daemon reads by itself.
+    pub peer_proof_age_max: Duration,
+}
+
+impl ReadTerms {
+    /// For the configuration: changes are in force within 2 s, of which a read takes up to 0.3 s. Sound
+    /// readers prove their knowledge often enough that nobody else reads.
+    pub const CONFIGURATION: ReadTerms = ReadTerms {
+        changes_wait: Duration::from_millis(1_000),
+        ask_interval: Duration::from_millis(400),
+        peer_proof_age_max: Duration::from_millis(1_600),
+    };
+    /// For the list of daemons: they rarely come and go, and each read has a price. Rates need a view
+    /// that is younger than 6 s.
+    pub const DIRECTORY: ReadTerms = ReadTerms {
+        changes_wait: Duration::from_millis(4_000),
+        ask_interval: Duration::from_millis(700),
+        peer_proof_age_max: Duration::from_millis(5_200),
+    };
+
+    /// How long a daemon whose proof has this age waits until it asks again; `None` if it is to read
+    /// by itself.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::policy::evidence::ReadTerms;
+    /// let terms = ReadTerms::CONFIGURATION;
+    /// let millis = Duration::from_millis;
+    /// assert_eq!(terms.follow_for(Some(millis(100))), Some(millis(400)));
+    /// assert_eq!(terms.follow_for(Some(millis(1_500))), Some(millis(100)));
+    /// assert_eq!(terms.follow_for(Some(millis(1_600))), None);
+    /// assert_eq!(terms.follow_for(None), None);
+    /// ```
+    pub fn follow_for(&self, proof_age: Option<Duration>) -> Option<Duration> {
+        let left = self.peer_proof_age_max.saturating_sub(proof_age?);
+        (!left.is_zero()).then(|| left.min(self.ask_interval))
+    }
+}
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -11,17 +11,11 @@
 use super::decision_log::LineWeight;
 use super::keyed_store::{StoreError, StoreRead, StoreTopic};
 use super::sidecar_shared::SidecarShared;
-use crate::policy::evidence::proven_at;
+use crate::policy::evidence::{ReadTerms, proven_at};
 use crate::policy::incarnation::BackendIncarnation;
 use crate::sidecar::connection::peer_link::keep_link;
-use crate::sidecar::version::config_watch::{ReadTerms, wait_turn};
-
-/// How long one read waits for changes: daemons rarely come and go, and each read has a price.
-const CHANGES_WAIT: Duration = Duration::from_secs(4);
-/// Other daemons' proof may be as old as one wait and the questions for it; rates need a view that
-/// is younger than 6 s.
-const READ_TERMS: ReadTerms =
-    ReadTerms { changes_wait: CHANGES_WAIT, peer_proof_age_max: Duration::from_millis(5_200) };
+use crate::sidecar::version::config_watch::wait_turn;
+
 /// Time between two reads.
 const GATHER_PAUSE: Duration = Duration::from_millis(400);
 const RETRY_PAUSE: Duration = Duration::from_millis(1_200);
@@ -144,7 +138,7 @@
     loop {
         // Daemons come and go many at a time: one read takes them all.
         sleep(GATHER_PAUSE).await;
-        let wait = wait_turn(shared, StoreTopic::Directory, READ_TERMS).await;
+        let wait = wait_turn(shared, StoreTopic::Directory, ReadTerms::DIRECTORY).await;
         let asked = shared.clock.now();
         read = shared.store.changes(StoreTopic::Directory, read.cursor, wait).await?;
         shared.store_answered("directory");
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -6,31 +6,14 @@
 use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
-use crate::policy::evidence::proven_at;
+use crate::policy::evidence::{ReadTerms, proven_at};
 use crate::sidecar::process::decision_log::LineWeight;
 use crate::sidecar::process::keyed_store::{StoreError, StoreRead, StoreTopic};
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 
-/// How long one read waits for changes. An answer lost costs this much age of the proof, and two
-/// must fit into the bound for withdrawn keys.
-const CHANGES_WAIT: Duration = Duration::from_millis(1_500);
-/// Time between questions to the daemon that reads for the availability zone.
-const ASK_INTERVAL: Duration = Duration::from_millis(700);
-/// With proof older than 2.4 s a daemon reads by itself: callers are sent away soon after.
-const READ_TERMS: ReadTerms =
-    ReadTerms { changes_wait: CHANGES_WAIT, peer_proof_age_max: Duration::from_millis(2_400) };
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(900);
 
-/// How a topic is read.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ReadTerms {
-    /// How long a read waits for changes.
-    pub(crate) changes_wait: Duration,
-    /// How old proof of another daemon may become before a daemon reads by itself.
-    pub(crate) peer_proof_age_max: Duration,
-}
-
 #[derive(Serialize)]
 struct ConfigChange {
     version: u64,
@@ -54,7 +37,8 @@
         match read_config(&shared, wait).await {
             Ok(()) => {
                 pause = RETRY_PAUSE;
-                wait = wait_turn(&shared, StoreTopic::Configuration, READ_TERMS).await;
+                wait =
+                    wait_turn(&shared, StoreTopic::Configuration, ReadTerms::CONFIGURATION).await;
             }
             Err(error) => {
                 if error == StoreError::Expired {
@@ -84,10 +68,10 @@
         if let Some(link) = reader.link() {
             link.ask_proof(shared.clock.now());
         }
-        if timeout(ASK_INTERVAL, view.behind()).await.is_ok() {
+        let Some(pause) = terms.follow_for(view.age(shared.clock.now())) else {
             return Duration::ZERO;
-        }
-        if !view.is_fresh(shared.clock.now(), terms.peer_proof_age_max) {
+        };
+        if timeout(pause, view.behind()).await.is_ok() {
             return Duration::ZERO;
         }
     }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -4,6 +4,7 @@
 mod door;
 mod model;
 mod placement;
+mod readers;
 mod retries;
 mod returns;
 mod roots;
--- /dev/null
+++ b/tests/suite/policy/readers.rs
@@ -0,0 +1,63 @@
+//! Readers of the store that are turned away, and the daemons that rely on them.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lentilway::clock::MilliTime;
+use lentilway::policy::evidence::{ConfigEvidence, ReadTerms, proven_at};
+
+/// Changes of the configuration are in force within this time.
+const CONFIG_BOUND: Duration = Duration::from_secs(2);
+/// A read takes this long at the most while the store is well.
+const READ_TIME: Duration = Duration::from_millis(300);
+const STEP_MS: u64 = 10;
+
+/// A daemon that follows a reader, by `terms`; the reader's reads fail from `fails_at` on. Returns when
+/// the daemon first reads by itself, within ten seconds of that.
+fn first_own_read(terms: ReadTerms, fails_at: u64, ask_phase: u64) -> Option<MilliTime> {
+    let (mut reader, mut follower) = (ConfigEvidence::default(), ConfigEvidence::default());
+    reader.prove(MilliTime(0));
+    follower.prove(MilliTime(0));
+    let (mut asked, mut check_at) = (MilliTime(0), MilliTime(ask_phase));
+    for millis in (0..fails_at + 10_000).step_by(STEP_MS as usize) {
+        let now = MilliTime(millis);
+        if now >= asked + terms.changes_wait && millis < fails_at {
+            reader.prove(proven_at(asked, true, terms.changes_wait));
+            asked = now;
+        }
+        if now >= check_at {
+            let Some(pause) = terms.follow_for(follower.age(now)) else {
+                return Some(now);
+            };
+            let age = reader.age(now).expect("the reader has proof from the start");
+            follower.prove(now.before(age));
+            check_at = now + pause;
+        }
+    }
+    None
+}
+
+/// A change just after the reader's last proof is read in time, whenever the reader fails.
+#[gtest]
+fn follow_for_reader_turned_away() {
+    let terms = ReadTerms::CONFIGURATION;
+    for fails_at in (3_000..5_000).step_by(STEP_MS as usize) {
+        for ask_phase in (0..400).step_by(50) {
+            let read = first_own_read(terms, fails_at, ask_phase).expect("it reads by itself");
+            let last_proof = fails_at - fails_at % terms.changes_wait.as_millis() as u64;
+            let known_after = read.since(MilliTime(last_proof.min(fails_at))) + READ_TIME;
+            expect_that!(known_after, le(CONFIG_BOUND), "reader failed at {fails_at}");
+        }
+    }
+}
+
+#[gtest]
+fn follow_for_sound_reader() {
+    for terms in [ReadTerms::CONFIGURATION, ReadTerms::DIRECTORY] {
+        for ask_phase in (0..700).step_by(50) {
+            // The reader never fails within the time that is played.
+            let read = first_own_read(terms, 60_000, ask_phase);
+            expect_that!(read.is_none_or(|read| read > MilliTime(60_000)), eq(true));
+        }
+    }
+}
