--- a/tests/suite/policy/tokens.rs
+++ b/tests/suite/policy/tokens.rs
@@ -141,7 +141,7 @@
         let before = refused_in_surge(terms, daemons, surge);
         let after = refused_in_surge(terms.spread_over(WINDOW), daemons, surge);
         println!("refused with a stock of the burst {before:.3}, with the burst spread {after:.3}");
-        expect_that!(after, lt(0.03));
+        expect_that!(after, lt(0.02));
         expect_that!(before, gt(2.0 * after));
     }
 }
