--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -30,6 +30,9 @@
 const SERVICE_SAMPLE_WEIGHT: f64 = 0.05;
 /// Window of the rate of arriving work: it covers a few runs of a service deep in the call graph.
 const DEMAND_WINDOW_SECONDS: f64 = 0.5;
+/// Window of the fraction of runs that the backend server refuses: entries must know of it before
+/// many more runs start.
+const REFUSAL_WINDOW_SECONDS: f64 = 0.4;
 /// Weight of the backlog in the demand: it is served in addition to the arrivals.
 const BACKLOG_WEIGHT: f64 = 0.5;
 
@@ -80,6 +83,17 @@
     Refuse(AdmissionRefusal),
 }
 
+/// How a run at the backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// It was answered.
+    Answered,
+    /// The backend server failed it.
+    Failed,
+    /// The backend server refused to run it.
+    Refused,
+}
+
 /// Running and waiting requests of one backend server.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -90,6 +104,7 @@
     call_millis: SampleAverage,
     root_millis: SampleAverage,
     failed_fraction: FailureFraction,
+    refused_fraction: FailureFraction,
     arrivals: RateAverage,
 }
 
@@ -104,6 +119,7 @@
             call_millis: SampleAverage::new(SERVICE_SAMPLE_WEIGHT),
             root_millis: SampleAverage::new(SERVICE_SAMPLE_WEIGHT),
             failed_fraction: FailureFraction::new(now),
+            refused_fraction: FailureFraction::with_window(REFUSAL_WINDOW_SECONDS, now),
             arrivals: RateAverage::new(DEMAND_WINDOW_SECONDS, now),
         }
     }
@@ -119,6 +135,7 @@
         self.call_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
         self.root_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
         self.failed_fraction = FailureFraction::new(now);
+        self.refused_fraction = FailureFraction::with_window(REFUSAL_WINDOW_SECONDS, now);
     }
 
     /// Requests that may run at a time.
@@ -202,16 +219,16 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Ends a run that took `elapsed`; `failed` if the backend server failed it.
+    /// Ends a run that took `elapsed`.
     ///
-    /// Only a run that did not fail counts towards the service time. A failed run occupied its slot
-    /// for a different time than expected, a refused one for almost none, so the demand is
-    /// corrected.
-    pub fn finish(&mut self, now: MilliTime, rank: RequestRank, elapsed: Duration, failed: bool) {
+    /// Only an answered run counts towards the service time. A failed run occupied its slot for a
+    /// different time than expected, a refused one for almost none, so the demand is corrected.
+    pub fn finish(&mut self, now: MilliTime, rank: RequestRank, elapsed: Duration, end: RunEnd) {
         self.release();
-        self.failed_fraction.add(now, failed);
+        self.failed_fraction.add(now, end != RunEnd::Answered);
+        self.refused_fraction.add(now, end == RunEnd::Refused);
         let millis = elapsed.as_secs_f64() * 1_000.0;
-        if failed {
+        if end != RunEnd::Answered {
             self.arrivals.add(now, millis - self.service_millis(rank.is_root));
             return;
         }
@@ -229,6 +246,11 @@
             service_micros: (self.service_mean() * 1_000.0) as u32,
             failed_permille: self.failed_fraction.permille(now),
             demand_permille: (self.demand(now) * 1_000.0) as u32,
+            ended_per_second: self.refused_fraction.events_per_second(now) as u32,
+            refused_permille: self.refused_fraction.permille(now),
+            // The retry budget is counted apart from the queue.
+            retries_denied_permille: 0,
+            retries_permille: 0,
         }
     }
 
--- a/src/policy/moving_average.rs
+++ b/src/policy/moving_average.rs
@@ -1,5 +1,8 @@
 //! Exponentially weighted averages of samples, rates and failures.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 use crate::clock::MilliTime;
 
 /// An exponentially weighted mean of samples.
@@ -79,6 +82,64 @@
     }
 }
 
+/// Numbers of events in windows that end now or earlier.
+#[derive(Clone, Debug)]
+pub struct WindowCount {
+    bucket_millis: u64,
+    /// Counts by number of the bucket, the newest last.
+    buckets: VecDeque<(u64, u32)>,
+}
+
+/// Buckets of a window.
+const WINDOW_BUCKETS: u64 = 100;
+
+impl WindowCount {
+    /// A count of zero in windows of this length.
+    pub fn new(window: Duration) -> Self {
+        let bucket_millis = (window.as_millis() as u64 / WINDOW_BUCKETS).max(1);
+        WindowCount { bucket_millis, buckets: VecDeque::new() }
+    }
+
+    /// Counts an event at `now`. Events must be added in the order of their times.
+    pub fn add(&mut self, now: MilliTime) {
+        let bucket = now.0 / self.bucket_millis;
+        match self.buckets.back_mut() {
+            Some((newest, count)) if *newest >= bucket => *count += 1,
+            _ => self.buckets.push_back((bucket, 1)),
+        }
+        while self.buckets.front().is_some_and(|(oldest, _)| oldest + 2 * WINDOW_BUCKETS < bucket) {
+            self.buckets.pop_front();
+        }
+    }
+
+    /// Uncounts the last event.
+    pub fn remove_last(&mut self) {
+        if let Some((_, count)) = self.buckets.back_mut() {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// The events from `from` to `to`, both to the hundredth of a window, at most two windows before
+    /// the last event.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::moving_average::WindowCount;
+    /// let mut count = WindowCount::new(Duration::from_secs(10));
+    /// count.add(MilliTime(1_000));
+    /// count.add(MilliTime(8_000));
+    /// assert_eq!(count.between(MilliTime(0), MilliTime(8_000)), 2);
+    /// assert_eq!(count.between(MilliTime(2_000), MilliTime(8_000)), 1);
+    /// ```
+    pub fn between(&self, from: MilliTime, to: MilliTime) -> u32 {
+        let (first, last) = (from.0 / self.bucket_millis, to.0 / self.bucket_millis);
+        let is_within = |bucket: u64| bucket >= first && bucket <= last;
+        let within = self.buckets.iter().filter(|(bucket, _)| is_within(*bucket));
+        within.map(|(_, count)| count).sum()
+    }
+}
+
 /// Fraction of recent events that failed. It decays with time, so that a source that is avoided for
 /// its failures is tried again.
 #[derive(Clone, Copy, Debug)]
@@ -87,7 +148,7 @@
     events: RateAverage,
 }
 
-/// Window of the rates.
+/// Usual window of the rates.
 const FAILURE_WINDOW_SECONDS: f64 = 2.0;
 /// Successes per second that are assumed in addition to those observed.
 const ASSUMED_SUCCESSES: f64 = 1.0;
@@ -95,10 +156,20 @@
 impl FailureFraction {
     /// A fraction without events.
     pub fn new(now: MilliTime) -> Self {
-        let rate = RateAverage::new(FAILURE_WINDOW_SECONDS, now);
+        FailureFraction::with_window(FAILURE_WINDOW_SECONDS, now)
+    }
+
+    /// A fraction without events, averaged over a window of this many seconds.
+    pub fn with_window(window_seconds: f64, now: MilliTime) -> Self {
+        let rate = RateAverage::new(window_seconds, now);
         FailureFraction { failures: rate, events: rate }
     }
 
+    /// Events per second.
+    pub fn events_per_second(&mut self, now: MilliTime) -> f64 {
+        self.events.per_second(now)
+    }
+
     /// Adds an event.
     pub fn add(&mut self, now: MilliTime, failed: bool) {
         self.events.add(now, 1.0);
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -5,6 +5,9 @@
 //! availability zones short of capacity: the instance with the lowest expected finish time is
 //! chosen. The sender's own availability zone is preferred while that costs little time, since
 //! traffic between zones is billed.
+//!
+//! Also handles resends while all instances refuse a fraction of their requests: each has a retry
+//! budget by the requests that it received, and the resends are spread by these budgets.
 
 use std::time::Duration;
 
@@ -27,6 +30,40 @@
     pub failed_permille: u16,
     /// Demand for the backend server's slots, in thousandths of them.
     pub demand_permille: u32,
+    /// Runs that ended, per second.
+    pub ended_per_second: u32,
+    /// Thousandths of them that the backend server refused to run.
+    pub refused_permille: u16,
+    /// Thousandths of the retries of entitled roots that the budget had no room for.
+    pub retries_denied_permille: u16,
+    /// Retries that the budget allows there, in thousandths per second.
+    pub retries_permille: u32,
+}
+
+/// Smallest change of a demand that is reported at once, in thousandths of the slots.
+const DEMAND_CHANGE_PERMILLE: u32 = 200;
+/// Demands below this need no report at once.
+const DEMAND_NOTABLE_PERMILLE: u32 = 600;
+/// Smallest change of the refused fraction that is reported at once, in thousandths.
+const REFUSED_CHANGE_PERMILLE: u16 = 100;
+
+impl InstanceLoad {
+    /// Whether senders should learn of this load before the next regular report, after `reported`
+    /// was sent: entries limit the roots by demand and refusals.
+    ///
+    /// ```
+    /// use lentilway::policy::placement::InstanceLoad;
+    /// let load = |demand_permille| InstanceLoad { demand_permille, ..InstanceLoad::default() };
+    /// assert!(load(1_400).differs_notably(&load(900)));
+    /// assert!(!load(500).differs_notably(&load(100)));
+    /// ```
+    pub fn differs_notably(&self, reported: &InstanceLoad) -> bool {
+        let demand = self.demand_permille.max(reported.demand_permille);
+        let demand_change = self.demand_permille.abs_diff(reported.demand_permille);
+        let refused_change = self.refused_permille.abs_diff(reported.refused_permille);
+        (demand >= DEMAND_NOTABLE_PERMILLE && demand_change >= DEMAND_CHANGE_PERMILLE)
+            || refused_change >= REFUSED_CHANGE_PERMILLE
+    }
 }
 
 /// One instance that may take a request.
@@ -124,5 +161,38 @@
     best.map(|(_, index)| index)
 }
 
+/// The index of the candidate that a resend goes to, chosen by `draw` (0 to 1) with probabilities
+/// that grow with the retries that each allows and fall with its expected finish time; `None` if
+/// none allows any.
+///
+/// ```
+/// use lentilway::policy::placement::{
+///     InstanceLoad, PlacementCandidate, choose_retry_instance,
+/// };
+/// let load = InstanceLoad { slots: 10, service_micros: 50_000, ..InstanceLoad::default() };
+/// let candidate = |retries_permille| PlacementCandidate {
+///     load: InstanceLoad { retries_permille, ..load },
+///     in_flight: 0, in_flight_at_report: 0, same_zone: true, failed_permille: 0,
+/// };
+/// let candidates = [candidate(0), candidate(9_000), candidate(1_000)];
+/// assert_eq!(choose_retry_instance(&candidates, 0.5), Some(1));
+/// assert_eq!(choose_retry_instance(&candidates, 0.95), Some(2));
+/// assert_eq!(choose_retry_instance(&candidates[..1], 0.5), None);
+/// ```
+pub fn choose_retry_instance(candidates: &[PlacementCandidate], draw: f64) -> Option<usize> {
+    let weight = |candidate: &PlacementCandidate| {
+        f64::from(candidate.load.retries_permille) / candidate.expected_millis(Duration::ZERO)
+    };
+    let total: f64 = candidates.iter().map(weight).sum();
+    let mut remaining = draw * total;
+    for (index, candidate) in candidates.iter().enumerate() {
+        remaining -= weight(candidate);
+        if remaining < 0.0 {
+            return Some(index);
+        }
+    }
+    None
+}
+
 /// Relative random spread of the costs, which breaks ties between instances.
 const JITTER: f64 = 0.1;
--- a/src/policy/read_schedule.rs
+++ b/src/policy/read_schedule.rs
@@ -129,7 +129,8 @@
         if !rank.has_reader {
             let takeover = times(TAKEOVER_STEP, rank.before).min(self.stale_age);
             if unled >= takeover {
-                return ReadStep::Read { wait: self.changes_wait };
+                // A read that returns a change proves only the time at which it was sent.
+                return ReadStep::Read { wait: self.changes_wait.saturating_sub(proof_age) };
             }
             remaining = remaining.min(takeover - unled);
         }
@@ -146,6 +147,23 @@
     step.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
+/// Time in which daemons that start together read the directory for the first time after they
+/// registered.
+const FIRST_READ_SPAN: Duration = Duration::from_millis(500);
+
+/// The delay until a daemon that has registered reads the directory. Of many that start together, the
+/// one with the lowest key, which is the first of its group, reads soonest and tells the others.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::policy::read_schedule::first_read_delay;
+/// assert_eq!(first_read_delay(0), Duration::ZERO);
+/// assert_eq!(first_read_delay(u64::MAX / 2).as_millis(), 250);
+/// ```
+pub fn first_read_delay(key: u64) -> Duration {
+    FIRST_READ_SPAN.mul_f64(key as f64 / u64::MAX as f64)
+}
+
 /// Delay after the first failed read of a reader.
 const READER_RETRY_DELAY: Duration = Duration::from_millis(150);
 const READER_RETRY_DELAY_MAX: Duration = Duration::from_millis(900);
--- a/src/policy/root_admission.rs
+++ b/src/policy/root_admission.rs
@@ -6,6 +6,10 @@
 //! the demand, each daemon computes the fraction of it that each service admits, and divides it
 //! among the groups by priority and, within a priority, by cost. Caller retries are admitted before
 //! first attempts.
+//!
+//! Also handles a deep service that refuses a fraction of its requests for some seconds although it
+//! has room. Its calls succeed after some retries, and the retry budget is what limits the runs: the
+//! roots are admitted whose retries the budget allows, and the others are refused before any work.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -28,18 +32,31 @@
 const DEMAND_SAMPLE_WEIGHT: f64 = 0.2;
 /// Bounds of the demand in one adjustment, as a ratio to the slots.
 const DEMAND_RANGE: (f64, f64) = (0.02, 3.0);
-/// Older reports are dropped.
-const REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Older reports are dropped: two are missing.
+const REPORT_AGE_MAX: Duration = Duration::from_millis(2_100);
 /// Smallest fraction of the demand for a service that is admitted.
 const FRACTION_MIN: f64 = 0.05;
 /// Smallest fraction of a group that is admitted, so that none starves.
 const GROUP_FRACTION_MIN: f64 = 0.08;
-/// Window of the arrival rate of a group's roots.
-const ARRIVAL_WINDOW_SECONDS: f64 = 1.5;
+/// The same while retries are short: without them, nearly all of its runs fail.
+const RETRY_GROUP_FRACTION_MIN: f64 = 0.02;
+/// Fraction of the retry budget that roots are admitted for: instances use less than all of it.
+const RETRY_TARGET: f64 = 0.85;
+/// Roots that succeed without any retry at least this often are admitted all the same.
+const UNAIDED_SUCCESS_MIN: f64 = 0.3;
+/// Smallest refused fraction for which the retries are considered.
+const REFUSED_FRACTION_MIN: f64 = 0.03;
+/// Window of the arrival rate of a group's roots: an entry has a few roots per second, whose mix
+/// changes slowly.
+const ARRIVAL_WINDOW_SECONDS: f64 = 4.0;
+/// The same for callers that return: they come when others are refused.
+const RETURN_WINDOW_SECONDS: f64 = 1.0;
 /// Weight of one root in the mean cost of its group.
 const COST_SAMPLE_WEIGHT: f64 = 0.05;
 /// Cost below which a group counts as not using a service, in slot-milliseconds.
 const COST_MIN: f64 = 1.0;
+/// Calls below which a group counts as not using a service.
+const CALLS_MIN: f64 = 0.05;
 
 /// Factor on the cost of a caller retry when groups are ordered: callers retry once, so a second
 /// refusal is final.
@@ -47,6 +64,8 @@
 
 /// Cost assumed for a group without answers so far, in slot-milliseconds.
 const COST_ASSUMED: f64 = 100.0;
+/// Calls assumed for a group without answers so far.
+const CALLS_ASSUMED: f64 = 2.0;
 
 /// Root requests that are admitted by the same rule.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -64,6 +83,8 @@
     pub service: Arc<str>,
     /// Slot-milliseconds.
     pub millis: f32,
+    /// Requests that it ran.
+    pub calls: f32,
 }
 
 /// The costs of a request and of the calls below it.
@@ -74,13 +95,16 @@
 /// ```
 /// use lentilway::policy::root_admission::{CostList, SlotCost, add_cost};
 /// let mut costs = CostList::new();
-/// add_cost(&mut costs, SlotCost { service: "stock".into(), millis: 20.0 });
-/// add_cost(&mut costs, SlotCost { service: "stock".into(), millis: 30.0 });
-/// assert_eq!(costs[0].millis, 50.0);
+/// add_cost(&mut costs, SlotCost { service: "stock".into(), millis: 20.0, calls: 1.0 });
+/// add_cost(&mut costs, SlotCost { service: "stock".into(), millis: 30.0, calls: 1.0 });
+/// assert_eq!((costs[0].millis, costs[0].calls), (50.0, 2.0));
 /// ```
 pub fn add_cost(costs: &mut CostList, cost: SlotCost) {
     match costs.iter_mut().find(|one| one.service == cost.service) {
-        Some(known) => known.millis += cost.millis,
+        Some(known) => {
+            known.millis += cost.millis;
+            known.calls += cost.calls;
+        }
         None => costs.push(cost),
     }
 }
@@ -89,20 +113,39 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum RootDecision {
     /// It may.
-    Admit,
+    Admit {
+        /// Whether it is admitted for retries that are short: its calls get them before others.
+        is_entitled: bool,
+    },
     /// It is refused to protect a service.
     Refuse {
-        /// The overloaded service.
+        /// The service.
         service: Arc<str>,
+        /// What that service is short of.
+        limit: RootLimit,
         /// The fraction of the group that is admitted.
         fraction: f64,
     },
 }
 
+/// What a service is short of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RootLimit {
+    /// Slots of its backend servers.
+    Slots,
+    /// Retries of requests that its backend servers refuse.
+    Retries,
+}
+
 #[derive(Debug)]
 struct InstanceReport {
     demand: f64,
     slots: f64,
+    /// Ended and refused runs per second.
+    ended: f64,
+    refused: f64,
+    /// Fraction of the retries of entitled roots for which there was no budget.
+    denied: f64,
     at: MilliTime,
 }
 
@@ -113,6 +156,10 @@
     /// Admitted fractions of the last adjustments, the newest first.
     history: VecDeque<f64>,
     demand: SampleAverage,
+    /// The fraction of the calls whose retries the budget allows.
+    retried_fraction: f64,
+    /// The fraction of the calls that the backend servers refuse.
+    refused_fraction: f64,
 }
 
 impl Default for ServiceState {
@@ -122,6 +169,8 @@
             fraction: 1.0,
             history: VecDeque::from(vec![1.0; EFFECT_DELAY.end]),
             demand: SampleAverage::new(DEMAND_SAMPLE_WEIGHT),
+            retried_fraction: 1.0,
+            refused_fraction: 0.0,
         }
     }
 }
@@ -131,13 +180,78 @@
 struct ArrivalFlow {
     arrivals: RateAverage,
     fraction: f64,
-    limiting: Option<Arc<str>>,
+    limiting: Option<(Arc<str>, RootLimit)>,
+    /// The fraction for whose retries the budget has room; `None` while retries are not short.
+    entitled: Option<f64>,
 }
 
 impl ArrivalFlow {
-    fn new(now: MilliTime) -> Self {
-        let arrivals = RateAverage::new(ARRIVAL_WINDOW_SECONDS, now);
-        ArrivalFlow { arrivals, fraction: 1.0, limiting: None }
+    fn new(window_seconds: f64, now: MilliTime) -> Self {
+        let arrivals = RateAverage::new(window_seconds, now);
+        ArrivalFlow { arrivals, fraction: 1.0, limiting: None, entitled: None }
+    }
+}
+
+/// Mean cost of a route's roots at one service.
+#[derive(Debug)]
+struct ServiceCost {
+    millis: SampleAverage,
+    calls: SampleAverage,
+}
+
+/// Costs of a route's roots by service.
+#[derive(Debug, Default)]
+struct RouteCosts {
+    services: HashMap<Arc<str>, ServiceCost>,
+    has_succeeded: bool,
+}
+
+impl RouteCosts {
+    /// Adds the cost of a root. A failed run may not have made all its calls, so it counts only
+    /// before the first successful one, or if it cost more than the mean.
+    fn observe(&mut self, costs: &CostList, succeeded: bool) {
+        let counts_less = self.has_succeeded && !succeeded;
+        for (service, average) in &mut self.services {
+            let found = costs.iter().find(|cost| cost.service == *service);
+            let (millis, calls) =
+                found.map_or((0.0, 0.0), |cost| (f64::from(cost.millis), f64::from(cost.calls)));
+            if !counts_less || millis > average.millis.mean_or(0.0) {
+                average.millis.add(millis);
+            }
+            if !counts_less || calls > average.calls.mean_or(0.0) {
+                average.calls.add(calls);
+            }
+        }
+        for cost in costs {
+            if !self.services.contains_key(&cost.service) {
+                let sample = || SampleAverage::new(COST_SAMPLE_WEIGHT);
+                let mut average = ServiceCost { millis: sample(), calls: sample() };
+                average.millis.add(f64::from(cost.millis));
+                average.calls.add(f64::from(cost.calls));
+                self.services.insert(cost.service.clone(), average);
+            }
+        }
+        self.has_succeeded |= succeeded;
+    }
+
+    /// What a root needs of `limit` at `service`; an assumption before the first answer, such that
+    /// unknown roots do not crowd out the others.
+    fn need(&self, service: &str, limit: RootLimit) -> f64 {
+        let (assumed, least) = match limit {
+            RootLimit::Slots => (COST_ASSUMED, COST_MIN),
+            RootLimit::Retries => (CALLS_ASSUMED, CALLS_MIN),
+        };
+        if self.services.is_empty() {
+            return assumed;
+        }
+        let Some(cost) = self.services.get(service) else {
+            return 0.0;
+        };
+        let need = match limit {
+            RootLimit::Slots => cost.millis.mean_or(0.0),
+            RootLimit::Retries => cost.calls.mean_or(0.0),
+        };
+        if need < least { 0.0 } else { need }
     }
 }
 
@@ -145,15 +259,13 @@
 struct GroupDemand {
     first_attempts: ArrivalFlow,
     retries: ArrivalFlow,
-    costs: HashMap<Arc<str>, SampleAverage>,
 }
 
 impl GroupDemand {
     fn new(now: MilliTime) -> Self {
         GroupDemand {
-            first_attempts: ArrivalFlow::new(now),
-            retries: ArrivalFlow::new(now),
-            costs: HashMap::new(),
+            first_attempts: ArrivalFlow::new(ARRIVAL_WINDOW_SECONDS, now),
+            retries: ArrivalFlow::new(RETURN_WINDOW_SECONDS, now),
         }
     }
 
@@ -167,13 +279,27 @@
 pub struct RootAdmission {
     services: HashMap<Arc<str>, ServiceState>,
     groups: HashMap<RootGroup, GroupDemand>,
+    costs: HashMap<Arc<str>, RouteCosts>,
+    retries_per_request: f64,
     adjusted: MilliTime,
 }
 
 impl RootAdmission {
-    /// Admits everything until demand is reported.
-    pub fn new(now: MilliTime) -> Self {
-        RootAdmission { services: HashMap::new(), groups: HashMap::new(), adjusted: now }
+    /// Admits everything until demand is reported. The retry budget allows this many retries for
+    /// each request for a service.
+    pub fn new(now: MilliTime, retries_per_request: f64) -> Self {
+        RootAdmission {
+            services: HashMap::new(),
+            groups: HashMap::new(),
+            costs: HashMap::new(),
+            retries_per_request,
+            adjusted: now,
+        }
+    }
+
+    /// Removes the costs of the routes for which `is_known` is false.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.costs.retain(|route, _| is_known(route));
     }
 
     /// Records the load that an instance of `service` reported.
@@ -184,9 +310,13 @@
         instance: u64,
         load: &InstanceLoad,
     ) {
+        let ended = f64::from(load.ended_per_second);
         let report = InstanceReport {
             demand: f64::from(load.demand_permille) / 1_000.0,
             slots: f64::from(load.slots),
+            ended,
+            refused: ended * f64::from(load.refused_permille) / 1_000.0,
+            denied: f64::from(load.retries_denied_permille) / 1_000.0,
             at: now,
         };
         match self.services.get_mut(service) {
@@ -198,34 +328,26 @@
         };
     }
 
-    /// Records the cost of an answered root. A failed run counts too, though it may not have made
-    /// all its calls: after a restart into overload there may be no other runs.
-    pub fn observe_cost(&mut self, group: &RootGroup, costs: &CostList) {
-        let Some(demand) = self.groups.get_mut(group) else {
-            return;
-        };
-        for (service, average) in &mut demand.costs {
-            let found = costs.iter().find(|cost| cost.service == *service);
-            average.add(found.map_or(0.0, |cost| f64::from(cost.millis)));
-        }
-        for cost in costs {
-            if !demand.costs.contains_key(&cost.service) {
-                let mut average = SampleAverage::new(COST_SAMPLE_WEIGHT);
-                average.add(f64::from(cost.millis));
-                demand.costs.insert(cost.service.clone(), average);
-            }
+    /// Records the cost of a root that ran, and whether it succeeded. A failed run counts too:
+    /// after a restart into overload there may be no others.
+    pub fn observe_cost(&mut self, route: &Arc<str>, costs: &CostList, succeeded: bool) {
+        match self.costs.get_mut(route) {
+            Some(known) => known.observe(costs, succeeded),
+            None => self.costs.entry(route.clone()).or_default().observe(costs, succeeded),
         }
     }
 
-    /// Admits or refuses an arriving root, by `draw` from 0 to 1. `is_retry` is set for a caller
-    /// that was refused before.
+    /// Admits or refuses an arriving root, by `draw` from 0 to 1; roots with a low draw should also
+    /// be preferred where their calls arrive. `is_retry` is set for a caller that was refused
+    /// before.
     ///
     /// ```
     /// use lentilway::clock::MilliTime;
     /// use lentilway::policy::root_admission::{RootAdmission, RootGroup, RootDecision};
-    /// let mut admission = RootAdmission::new(MilliTime(0));
+    /// let mut admission = RootAdmission::new(MilliTime(0), 0.2);
     /// let group = RootGroup { route: "stock-read".into(), priority: 2 };
-    /// assert_eq!(admission.admit(MilliTime(5), &group, false, 0.99), RootDecision::Admit);
+    /// let decision = admission.admit(MilliTime(5), &group, false, 0.99);
+    /// assert_eq!(decision, RootDecision::Admit { is_entitled: false });
     /// ```
     pub fn admit(
         &mut self,
@@ -244,10 +366,15 @@
         let flow = if is_retry { &mut demand.retries } else { &mut demand.first_attempts };
         flow.arrivals.add(now, 1.0);
         match &flow.limiting {
-            Some(service) if draw >= flow.fraction => {
-                RootDecision::Refuse { service: service.clone(), fraction: flow.fraction }
+            Some((service, limit)) if draw >= flow.fraction => RootDecision::Refuse {
+                service: service.clone(),
+                limit: *limit,
+                fraction: flow.fraction,
+            },
+            _ => {
+                let is_entitled = flow.entitled.is_some_and(|fraction| draw < fraction);
+                RootDecision::Admit { is_entitled }
             }
-            _ => RootDecision::Admit,
         }
     }
 
@@ -265,24 +392,31 @@
     fn adjust(&mut self, now: MilliTime) {
         self.adjusted = now;
         for state in self.services.values_mut() {
-            state.adjust(now);
+            state.adjust(now, self.retries_per_request);
         }
         let is_active = |flow: &mut ArrivalFlow| flow.arrivals.per_second(now) >= 0.01;
         self.groups.retain(|_, demand| demand.flows().into_iter().any(is_active));
         for flow in self.groups.values_mut().flat_map(GroupDemand::flows) {
             flow.fraction = 1.0;
             flow.limiting = None;
+            flow.entitled = None;
         }
         for (service, state) in &self.services {
-            if state.fraction < 1.0 {
-                divide_fraction(&mut self.groups, now, service, state.fraction);
+            let limits =
+                [(RootLimit::Slots, state.fraction), (RootLimit::Retries, state.retried_fraction)];
+            for (limit, fraction) in limits {
+                if fraction < 1.0 {
+                    let refused = state.refused_fraction;
+                    let shortage = ServiceShortage { service, limit, fraction, refused };
+                    shortage.divide(now, &mut self.groups, &self.costs);
+                }
             }
         }
     }
 }
 
 impl ServiceState {
-    fn adjust(&mut self, now: MilliTime) {
+    fn adjust(&mut self, now: MilliTime, retries_per_request: f64) {
         self.reports.retain(|_, report| now.since(report.at) < REPORT_AGE_MAX);
         let slots: f64 = self.reports.values().map(|report| report.slots).sum();
         let demanded: f64 = self.reports.values().map(|report| report.demand * report.slots).sum();
@@ -292,6 +426,23 @@
         self.fraction = (DEMAND_TARGET / self.demand.mean_or(0.0)).clamp(FRACTION_MIN, 1.0);
         self.history.push_front(self.fraction);
         self.history.truncate(EFFECT_DELAY.end);
+        self.retried_fraction = self.allowed_by_retries(retries_per_request);
+    }
+
+    /// The fraction of the calls that the retry budget can complete: one that is refused with
+    /// probability `p` needs `p / (1 - p)` retries.
+    fn allowed_by_retries(&mut self, retries_per_request: f64) -> f64 {
+        let ended: f64 = self.reports.values().map(|report| report.ended).sum();
+        let refused: f64 = self.reports.values().map(|report| report.refused).sum();
+        let fraction = if ended > 0.0 { refused / ended } else { 0.0 };
+        self.refused_fraction = fraction;
+        if fraction < REFUSED_FRACTION_MIN {
+            return 1.0;
+        }
+        let reports = self.reports.values();
+        let denied = reports.map(|report| report.denied * report.ended).sum::<f64>() / ended;
+        let allowed = RETRY_TARGET * retries_per_request * (1.0 - fraction) / fraction;
+        (allowed * (1.0 - denied)).min(1.0)
     }
 
     /// Mean admitted fraction when the roots that cause the current demand arrived.
@@ -301,42 +452,88 @@
     }
 }
 
-/// Divides the admitted `fraction` of the demand for `service` among the groups that use it.
-fn divide_fraction(
-    groups: &mut HashMap<RootGroup, GroupDemand>,
-    now: MilliTime,
-    service: &Arc<str>,
+/// A service that can take only a fraction of what all roots need of it.
+struct ServiceShortage<'a> {
+    service: &'a Arc<str>,
+    limit: RootLimit,
     fraction: f64,
-) {
-    struct Claim<'a> {
-        priority: u8,
-        cost: f64,
-        work: f64,
-        flow: &'a mut ArrivalFlow,
-    }
-    let mut claims: Vec<Claim<'_>> = Vec::with_capacity(2 * groups.len());
-    for (group, demand) in groups.iter_mut() {
-        // Costs are unknown before the first answer; such roots must not crowd out the others.
-        let unknown = if demand.costs.is_empty() { COST_ASSUMED } else { 0.0 };
-        let cost = demand.costs.get(service).map_or(unknown, |cost| cost.mean_or(0.0));
-        if cost < COST_MIN {
-            continue;
+    /// The fraction of the calls that its backend servers refuse.
+    refused: f64,
+}
+
+/// The need of the roots of one flow.
+struct FlowClaim<'a> {
+    priority: u8,
+    /// Need of each root, less for those that are preferred.
+    cost: f64,
+    /// Need of all roots.
+    work: f64,
+    /// Smallest fraction that is admitted.
+    least: f64,
+    flow: &'a mut ArrivalFlow,
+}
+
+impl ServiceShortage<'_> {
+    /// Divides what the service can take among the groups that use it.
+    fn divide(
+        &self,
+        now: MilliTime,
+        groups: &mut HashMap<RootGroup, GroupDemand>,
+        costs: &HashMap<Arc<str>, RouteCosts>,
+    ) {
+        let mut claims = self.claims(now, groups, costs);
+        claims.sort_by(|a, b| a.priority.cmp(&b.priority).then(a.cost.total_cmp(&b.cost)));
+        let total: f64 = claims.iter().map(|claim| claim.work).sum();
+        let mut remaining = total * self.fraction;
+        for claim in claims {
+            let share = if claim.work > 0.0 { remaining.max(0.0) / claim.work } else { 1.0 };
+            let fraction = share.max(claim.least).min(1.0);
+            match self.limit {
+                RootLimit::Slots => remaining -= claim.work * fraction,
+                RootLimit::Retries => {
+                    // The others run without retries.
+                    remaining -= claim.work * share.min(1.0);
+                    let entitled = claim.flow.entitled.unwrap_or(1.0);
+                    claim.flow.entitled = Some(entitled.min(share));
+                }
+            }
+            if fraction < claim.flow.fraction {
+                claim.flow.fraction = fraction;
+                claim.flow.limiting = Some((self.service.clone(), self.limit));
+            }
         }
-        for (flow, cost_factor) in demand.flows().into_iter().zip([RETRY_COST_FACTOR, 1.0]) {
-            let work = flow.arrivals.per_second(now) * cost;
-            claims.push(Claim { priority: group.priority, cost: cost * cost_factor, work, flow });
+    }
+
+    fn claims<'a>(
+        &self,
+        now: MilliTime,
+        groups: &'a mut HashMap<RootGroup, GroupDemand>,
+        costs: &HashMap<Arc<str>, RouteCosts>,
+    ) -> Vec<FlowClaim<'a>> {
+        let unknown = RouteCosts::default();
+        let mut claims = Vec::with_capacity(2 * groups.len());
+        for (group, demand) in groups {
+            let known = costs.get(&group.route).unwrap_or(&unknown);
+            let need = known.need(self.service, self.limit);
+            if need == 0.0 {
+                continue;
+            }
+            let least = self.least_fraction(need);
+            for (flow, factor) in demand.flows().into_iter().zip([RETRY_COST_FACTOR, 1.0]) {
+                let work = flow.arrivals.per_second(now) * need;
+                let (priority, cost) = (group.priority, need * factor);
+                claims.push(FlowClaim { priority, cost, work, least, flow });
+            }
         }
+        claims
     }
-    claims.sort_by(|a, b| a.priority.cmp(&b.priority).then(a.cost.total_cmp(&b.cost)));
-    let total: f64 = claims.iter().map(|claim| claim.work).sum();
-    let mut remaining = total * fraction;
-    for claim in claims {
-        let granted = claim.work.min(remaining.max(claim.work * GROUP_FRACTION_MIN));
-        remaining -= granted;
-        let fraction = if claim.work > 0.0 { granted / claim.work } else { 1.0 };
-        if fraction < claim.flow.fraction {
-            claim.flow.fraction = fraction;
-            claim.flow.limiting = Some(service.clone());
+
+    /// The smallest admitted fraction of a group whose roots have this need.
+    fn least_fraction(&self, need: f64) -> f64 {
+        match self.limit {
+            RootLimit::Slots => GROUP_FRACTION_MIN,
+            RootLimit::Retries if (1.0 - self.refused).powf(need) >= UNAIDED_SUCCESS_MIN => 1.0,
+            RootLimit::Retries => RETRY_GROUP_FRACTION_MIN,
         }
     }
 }
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -14,8 +14,8 @@
 use crate::sidecar::process::peer_table::PeerEntry;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 
-pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(600);
-/// A link without messages for this long is closed: three keepalives are missing.
+pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(900);
+/// A link without messages for this long is closed: two keepalives are missing.
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Number of the request for records that a starting daemon sends over each link to it.
+/// Number of the request for records that a starting daemon sends over a link to it.
 const START_REQUEST: u64 = 0;
 /// A daemon that asked for records gets changes unasked for this long.
 const FOLLOWER_SPAN: Duration = Duration::from_secs(3);
@@ -103,15 +103,7 @@
     if sender.send(PeerMessage::Hello { name, service }).is_err() {
         return LinkError::Closed;
     }
-    let opened = shared.clock.now();
-    if shared.store_view.directory.cursor().is_none() {
-        // This daemon has just started, perhaps while the store does not answer.
-        let (configuration, directory) = (None, None);
-        let ask = PeerMessage::AskRecords { number: START_REQUEST, configuration, directory };
-        if sender.send(ask).is_err() {
-            return LinkError::Closed;
-        }
-    }
+    let mut start_request = None;
     let mut follower = RecordFollower::default();
     let (ended_sender, mut ended) = mpsc::unbounded_channel();
     let mut load_changes = shared.backend_admission.subscribe();
@@ -152,7 +144,7 @@
                         }
                     }
                     PeerMessage::Records { number, configuration, directory } => {
-                        let requested = (number == Some(START_REQUEST)).then_some(opened);
+                        let requested = start_request.filter(|_| number == Some(START_REQUEST));
                         shared.merge_reports(requested, configuration, directory);
                     }
                     PeerMessage::Hello { .. }
@@ -176,6 +168,18 @@
                 }
             }
             _ = keepalive.tick() => {
+                if shared.take_start_request() {
+                    // This daemon has just started, with many others or while the store is down.
+                    start_request = Some(shared.clock.now());
+                    let ask = PeerMessage::AskRecords {
+                        number: START_REQUEST,
+                        configuration: shared.store_view.configuration.cursor(),
+                        directory: shared.store_view.directory.cursor(),
+                    };
+                    if sender.send(ask).is_err() {
+                        return LinkError::Closed;
+                    }
+                }
                 if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
                     return LinkError::Closed;
                 }
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -7,12 +7,15 @@
 
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::admission_queue::{
-    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, WaitOutcome, WaitTicket,
+    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
+    WaitTicket,
 };
 use crate::policy::placement::InstanceLoad;
+use crate::policy::retry_allowance::{RetryAllowance, RetryClaim, RetryTerms};
 use crate::policy::root_admission::{CostList, SlotCost, add_cost};
 use crate::policy::run_registry::{RunKey, RunRegistry};
 use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget};
@@ -20,6 +23,8 @@
     CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
 };
 
+/// Shortest time between notifications of a changed load.
+const NOTIFY_INTERVAL: Duration = Duration::from_millis(300);
 /// Extra wait after the deadline passed to the backend server, for its answer to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
@@ -66,6 +71,7 @@
 struct AdmissionState {
     queue: AdmissionQueue,
     waiters: HashMap<WaitTicket, oneshot::Sender<WaitOutcome>>,
+    retries: RetryAllowance,
     runs: RunRegistry<Arc<RunRecord>>,
     target: Option<BackendTarget>,
     /// The daemon is stopping: admission is never opened again.
@@ -79,8 +85,10 @@
     service: Arc<str>,
     pool: BackendPool,
     state: Mutex<AdmissionState>,
-    /// Incremented when admission is opened or suspended, so that peers are notified at once.
+    /// Incremented when peers must learn of the load at once.
     changed: watch::Sender<u64>,
+    /// The load of the last such notification, with its time.
+    notified: Mutex<(MilliTime, InstanceLoad)>,
 }
 
 /// Removes a request from the admission queue when its future is dropped.
@@ -119,7 +127,7 @@
     key: RunKey,
     record: Arc<RunRecord>,
     started: MilliTime,
-    failed: Option<bool>,
+    end: Option<RunEnd>,
 }
 
 impl Drop for RunGuard<'_> {
@@ -127,10 +135,10 @@
         let now = self.admission.clock.now();
         let mut state = self.admission.lock();
         state.runs.end(&self.record.context.request_id, self.key);
-        match self.failed {
-            Some(failed) => {
+        match self.end {
+            Some(end) => {
                 let elapsed = now.since(self.started);
-                state.queue.finish(now, self.record.context.rank, elapsed, failed);
+                state.queue.finish(now, self.record.context.rank, elapsed, end);
             }
             None => state.queue.release(),
         }
@@ -139,17 +147,24 @@
 }
 
 impl BackendAdmission {
-    pub(crate) fn new(clock: MilliClock, service: Arc<str>, pool: BackendPool) -> Self {
+    pub(crate) fn new(
+        clock: MilliClock,
+        service: Arc<str>,
+        pool: BackendPool,
+        retry_terms: RetryTerms,
+    ) -> Self {
         let now = clock.now();
         let state = AdmissionState {
             queue: AdmissionQueue::new(now),
             waiters: HashMap::new(),
+            retries: RetryAllowance::new(now, retry_terms),
             runs: RunRegistry::default(),
             target: None,
             is_closed: false,
         };
         let changed = watch::Sender::new(0);
-        BackendAdmission { clock, service, pool, state: Mutex::new(state), changed }
+        let notified = Mutex::new((now, InstanceLoad::default()));
+        BackendAdmission { clock, service, pool, state: Mutex::new(state), changed, notified }
     }
 
     /// Starts to admit requests to a backend server.
@@ -189,7 +204,17 @@
     /// The current load.
     pub(crate) fn load(&self) -> InstanceLoad {
         let now = self.clock.now();
-        self.lock().queue.load(now)
+        let mut state = self.lock();
+        InstanceLoad {
+            retries_denied_permille: state.retries.denied_permille(now),
+            retries_permille: state.retries.earned_permille(),
+            ..state.queue.load(now)
+        }
+    }
+
+    /// Sets the number of instances of the service, which share the slack of its retry budget.
+    pub(crate) fn set_instances(&self, instances: usize) {
+        self.lock().retries.set_instances(instances);
     }
 
     /// The number of running requests.
@@ -197,7 +222,18 @@
         self.lock().runs.len()
     }
 
-    /// Notified when admission is opened or suspended.
+    /// Notifies peers if the load has changed notably.
+    pub(crate) fn notify_load(&self) {
+        let now = self.clock.now();
+        let load = self.load();
+        let mut notified = self.notified.lock().expect("lock not poisoned");
+        if now.since(notified.0) >= NOTIFY_INTERVAL && load.differs_notably(&notified.1) {
+            *notified = (now, load);
+            self.notify_change();
+        }
+    }
+
+    /// Notified when admission is opened or suspended, or the load has changed notably.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
@@ -223,7 +259,14 @@
         if call.context.service != self.service {
             return (refusal_outcome(AdmissionRefusal::NoBackend), CostList::new());
         }
+        if call.context.is_resend && !self.take_retry(&call.context) {
+            let cause = NotRunCause::RetryBudget;
+            return (CallOutcome::NotRun { cause, capacity_in_millis: 0 }, CostList::new());
+        }
         if let Err(refusal) = self.acquire_slot(call).await {
+            if call.context.is_resend {
+                self.lock().retries.refund();
+            }
             return (refusal_outcome(refusal), CostList::new());
         }
         let mut run = self.start_run(call);
@@ -235,11 +278,19 @@
             self.pool.exchange(&target, &call.context, &call.request, remaining, call.runs_once);
         let outcome = timeout(remaining + ANSWER_MARGIN, exchange).await;
         let outcome = outcome.unwrap_or(CallOutcome::Unknown(UnknownCause::Expired));
-        run.failed = Some(run.is_backend_failure(&outcome));
+        run.end = Some(run.end_of(&outcome));
         let costs = run.costs(&self.service, self.clock.now());
         (outcome, costs)
     }
 
+    fn take_retry(&self, context: &CallContext) -> bool {
+        let now = self.clock.now();
+        let root_hash = xxh3_64(context.root_id.as_bytes());
+        let CallContext { rank, is_entitled, .. } = *context;
+        let claim = RetryClaim { priority: rank.priority, root_hash, is_entitled };
+        self.lock().retries.spend(now, claim)
+    }
+
     async fn acquire_slot(&self, call: &BackendCall) -> Result<(), AdmissionRefusal> {
         let guard = {
             let mut state = self.lock();
@@ -271,8 +322,15 @@
             costs: Mutex::default(),
             call_failed: AtomicBool::new(false),
         });
-        let key = self.lock().runs.start(&call.context.request_id, call.deadline, record.clone());
-        RunGuard { admission: self, key, record, started: self.clock.now(), failed: None }
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match (call.context.is_resend, call.context.is_repeat) {
+            (true, _) => {}
+            (false, true) => state.retries.charge(now),
+            (false, false) => state.retries.count_request(now),
+        }
+        let key = state.runs.start(&call.context.request_id, call.deadline, record.clone());
+        RunGuard { admission: self, key, record, started: now, end: None }
     }
 
     fn start_queued(&self, state: &mut AdmissionState) {
@@ -307,21 +365,24 @@
 }
 
 impl RunGuard<'_> {
-    /// Whether the backend server itself failed the request.
-    fn is_backend_failure(&self, outcome: &CallOutcome) -> bool {
+    /// How the run ended. An error after a failed call of the run is not the backend server's.
+    fn end_of(&self, outcome: &CallOutcome) -> RunEnd {
         match outcome {
-            CallOutcome::Answered(answer) => {
-                answer.is_server_error() && !self.record.call_failed.load(Ordering::Relaxed)
+            CallOutcome::Answered(answer)
+                if answer.is_server_error() && !self.record.call_failed.load(Ordering::Relaxed) =>
+            {
+                RunEnd::Failed
             }
-            CallOutcome::NotRun { .. } => true,
-            CallOutcome::Unknown(_) => true,
+            CallOutcome::Answered(_) => RunEnd::Answered,
+            CallOutcome::NotRun { cause: NotRunCause::BackendRefused, .. } => RunEnd::Refused,
+            CallOutcome::NotRun { .. } | CallOutcome::Unknown(_) => RunEnd::Failed,
         }
     }
 
     fn costs(&self, service: &Arc<str>, now: MilliTime) -> CostList {
         let mut costs = self.record.costs.lock().expect("lock not poisoned").clone();
         let millis = now.since(self.started).as_secs_f32() * 1_000.0;
-        add_cost(&mut costs, SlotCost { service: service.clone(), millis });
+        add_cost(&mut costs, SlotCost { service: service.clone(), millis, calls: 1.0 });
         costs
     }
 }
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -265,6 +265,7 @@
         ticks.tick().await;
         shared.backend_admission.refuse_late();
         shared.observe_own_load();
+        shared.backend_admission.notify_load();
         let now = shared.clock.now();
         let is_silent = {
             let mut state = shared.backend_watch.lock();
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -103,7 +103,9 @@
         shared.peers.set_entries(others.collect());
         connect_peers(shared);
         shared.quota.set_members(self.entries.len());
-        shared.retries.lock().expect("lock not poisoned").set_members(self.entries.len());
+        let own_service = &shared.settings.service;
+        let instances = self.entries.iter().filter(|entry| entry.service == *own_service);
+        shared.backend_admission.set_instances(instances.count());
         let names: Vec<&str> = self.entries.iter().take(8).map(|entry| &*entry.name).collect();
         let cursor = shared.store_view.directory.cursor().unwrap_or(0);
         let line = DirectoryLine { daemons: self.entries.len(), cursor, names: &names };
@@ -135,6 +137,7 @@
         restore_left(shared, left);
     }
     shared.quota.record_listed(own.is_some());
+    shared.listed.send_replace(own.is_some());
     view.publish(shared);
 }
 
--- a/src/sidecar/process/link_plan.rs
+++ b/src/sidecar/process/link_plan.rs
@@ -123,10 +123,12 @@
             let chosen = choose_subset(self.own_key, members);
             callees.extend(chosen.into_iter().map(|index| members[index].key));
         }
-        let before = self.group_before();
+        let (before, after) = self.reading_group();
         let readers = planned_readers(&before, unreachable);
+        // The first of a group links to the others: daemons that start together do not know it yet.
+        let led = if before.is_empty() { after } else { Vec::new() };
         let pool_hosts = self.pool_hosts();
-        let keys = callees.iter().chain(&readers).chain(&pool_hosts).copied();
+        let keys = callees.iter().chain(&readers).chain(&led).chain(&pool_hosts).copied();
         LinkPlan {
             links: keys.filter(|key| *key != self.own_key).collect(),
             callees,
@@ -138,15 +140,14 @@
         }
     }
 
-    /// The daemons before this one in its reading group, in order.
-    fn group_before(&self) -> Vec<u64> {
+    /// The daemons before and after this one in its reading group, in order.
+    fn reading_group(&self) -> (Vec<u64>, Vec<u64>) {
         let in_zone = self.entries.iter().filter(|(_, entry)| entry.availability_zone == self.zone);
-        let zone: Vec<u64> = in_zone.map(|(key, _)| *key).collect();
+        let mut zone: Vec<u64> = in_zone.map(|(key, _)| *key).collect();
+        zone.sort_unstable();
         let groups = (zone.len() + 1).div_ceil(READING_GROUP_MAX) as u64;
-        let is_before = |key: &u64| key % groups == self.own_key % groups && *key < self.own_key;
-        let mut before: Vec<u64> = zone.into_iter().filter(is_before).collect();
-        before.sort_unstable();
-        before
+        let group = zone.into_iter().filter(|key| key % groups == self.own_key % groups);
+        group.partition(|key| *key < self.own_key)
     }
 
     fn pool_hosts(&self) -> Vec<u64> {
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use serde::Serialize;
+use tokio::sync::watch;
 
 use super::backend_admission::{BackendAdmission, BackendCall};
 use super::backend_watch::BackendWatch;
@@ -22,7 +23,6 @@
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::caller_retry::RetryDetector;
 use crate::policy::placement::InstanceLoad;
-use crate::policy::retry_allowance::RetryAllowance;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::route_success::RouteSuccess;
 use crate::policy::weighted_split::WeightedSplit;
@@ -35,6 +35,8 @@
 
 /// Safety margin of the withdrawal bound, for clocks with millisecond resolution and late timers.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(200);
+/// Time between requests for the directory to daemons that linked to this one.
+const START_REQUEST_DELAY: Duration = Duration::from_millis(200);
 /// Maximum proof age of a ready daemon, as a fraction of the withdrawal bound. With an older proof,
 /// callers should use other daemons.
 const READY_PROOF_AGE_FRACTION: f64 = 0.6;
@@ -53,7 +55,6 @@
     pub(crate) peers: PeerTable,
     pub(crate) quota: QuotaTable,
     pub(crate) root_admission: Mutex<RootAdmission>,
-    pub(crate) retries: Mutex<RetryAllowance>,
     pub(crate) route_success: Mutex<RouteSuccess>,
     pub(crate) retry_detector: Mutex<RetryDetector>,
     pub(crate) destination_split: Mutex<WeightedSplit>,
@@ -63,6 +64,10 @@
     pub(crate) directory: Mutex<DirectoryView>,
     /// When this process started.
     pub(crate) started: MilliTime,
+    /// Whether the directory known here lists this daemon.
+    pub(crate) listed: watch::Sender<bool>,
+    /// When a daemon that linked to this one may be asked for the directory.
+    next_start_request: Mutex<MilliTime>,
     config: ArcSwapOption<FleetConfig>,
     lost_dependencies: Mutex<HashSet<String>>,
 }
@@ -99,12 +104,16 @@
         let pool = BackendPool::new(clock.clone(), dialect.headers().clone());
         let now = clock.now();
         SidecarShared {
-            backend_admission: BackendAdmission::new(clock.clone(), settings.service.clone(), pool),
+            backend_admission: BackendAdmission::new(
+                clock.clone(),
+                settings.service.clone(),
+                pool,
+                settings.retry_terms,
+            ),
             backend_watch: BackendWatch::default(),
             peers: PeerTable::new(clock.clone(), &settings),
             quota: QuotaTable::new(clock.clone(), &settings.name, settings.rate_window),
-            root_admission: Mutex::new(RootAdmission::new(now)),
-            retries: Mutex::new(RetryAllowance::new(settings.retry_terms)),
+            root_admission: Mutex::new(RootAdmission::new(now, settings.retry_terms.per_request)),
             route_success: Mutex::default(),
             retry_detector: Mutex::default(),
             destination_split: Mutex::default(),
@@ -113,6 +122,8 @@
             store_view: StoreView::new(clock.clone()),
             directory: Mutex::default(),
             started: now,
+            listed: watch::Sender::new(false),
+            next_start_request: Mutex::new(now),
             config: ArcSwapOption::empty(),
             lost_dependencies: Mutex::default(),
             metrics: SidecarMetrics::default(),
@@ -140,6 +151,7 @@
         let names = config.route_names();
         self.route_success.lock().expect("lock not poisoned").retain(|name| names.contains(name));
         self.retry_detector.lock().expect("lock not poisoned").retain(|name| names.contains(name));
+        self.root_admission.lock().expect("lock not poisoned").retain(|name| names.contains(name));
         self.config.store(Some(Arc::new(config)));
     }
 
@@ -210,6 +222,33 @@
         }
     }
 
+    /// Whether the directory known here lists this daemon.
+    pub(crate) fn is_listed(&self) -> bool {
+        *self.listed.borrow()
+    }
+
+    /// Waits until the directory known here lists this daemon.
+    pub(crate) async fn wait_until_listed(&self) {
+        let mut receiver = self.listed.subscribe();
+        // The sender lives as long as `self`.
+        let _ = receiver.wait_for(|is_listed| *is_listed).await;
+    }
+
+    /// Whether to ask a daemon that linked to this one for the directory: one of them at a time,
+    /// while the directory known here does not list this daemon.
+    pub(crate) fn take_start_request(&self) -> bool {
+        if self.is_listed() {
+            return false;
+        }
+        let now = self.clock.now();
+        let mut next = self.next_start_request.lock().expect("lock not poisoned");
+        let is_due = now >= *next;
+        if is_due {
+            *next = now + START_REQUEST_DELAY;
+        }
+        is_due
+    }
+
     /// Whether the directory is known as of a time after the start of this process.
     pub(crate) fn was_directory_read(&self) -> bool {
         let now = self.clock.now();
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -13,13 +13,15 @@
 use super::sidecar_shared::SidecarShared;
 use crate::clock::MilliTime;
 use crate::policy::freshness::proven_at;
-use crate::policy::read_schedule::{ReadSchedule, ReadStep, ReaderRank, read_retry_delay};
+use crate::policy::read_schedule::{
+    ReadSchedule, ReadStep, ReaderRank, first_read_delay, read_retry_delay,
+};
 
 /// Other daemons that a daemon with a stale proof asks at a time.
 const STALE_ASK_COUNT: usize = 3;
 
-/// Time that a starting daemon waits for the directory before it reads the configuration.
-const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after its first read of the directory in which a starting daemon reads the configuration.
+const LISTED_MARGIN: Duration = Duration::from_millis(100);
 /// Time between reads of the directory.
 const DIRECTORY_READ_DELAY: Duration = Duration::from_millis(400);
 
@@ -51,9 +53,13 @@
         retry_at: MilliTime(0),
     };
     match topic {
-        StoreTopic::Directory => reader.read_until_answered().await,
-        StoreTopic::Configuration => reader.wait_for_directory().await,
+        StoreTopic::Directory => {
+            reader.read_until_answered().await;
+            reader.wait_until_listed(Duration::ZERO).await;
+        }
+        StoreTopic::Configuration => reader.wait_until_listed(LISTED_MARGIN).await,
     }
+    reader.unled_since = reader.shared.clock.now();
     loop {
         reader.step().await;
     }
@@ -73,12 +79,11 @@
         }
     }
 
-    /// Waits until the directory tells which daemon reads for this one.
-    async fn wait_for_directory(&mut self) {
-        let read = self.shared.backend_watch.directory_was_read();
-        // Without an answer in time, the configuration may be readable all the same.
-        let _ = timeout(DIRECTORY_TIMEOUT, read).await;
-        self.unled_since = self.shared.clock.now();
+    /// Waits until the directory lists this daemon and thus tells which one reads for it, but no
+    /// longer than until it is this one's turn to read.
+    async fn wait_until_listed(&self, margin: Duration) {
+        let delay = first_read_delay(self.shared.own_key) + margin;
+        let _ = timeout(delay, self.shared.wait_until_listed()).await;
     }
 
     async fn step(&mut self) {
--- a/src/sidecar/request/context.rs
+++ b/src/sidecar/request/context.rs
@@ -24,6 +24,10 @@
     pub service: Arc<str>,
     /// Whether it is a resend, or a call of a run that is one.
     pub is_repeat: bool,
+    /// Whether it is a resend, which needs a retry of the instance's budget.
+    pub is_resend: bool,
+    /// Whether its root was admitted for retries that are short.
+    pub is_entitled: bool,
 }
 
 /// A request for a backend server, without the headers that the last daemon adds.
@@ -80,6 +84,8 @@
     BackendRefused,
     /// No connection could be opened.
     Unreachable,
+    /// It is a resend for which the retry budget has no room.
+    RetryBudget,
 }
 
 /// Why a request may have run.
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -6,11 +6,11 @@
 use rand::Rng;
 use smallvec::SmallVec;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::context::{BackendAnswer, CallOutcome, NotRunCause, UnknownCause};
-use crate::policy::placement::{PlacementCandidate, choose_instance, zone_penalty};
-use crate::policy::retry_allowance::RetryClaim;
+use crate::policy::placement::{
+    PlacementCandidate, choose_instance, choose_retry_instance, zone_penalty,
+};
 use crate::policy::root_admission::CostList;
 use crate::sidecar::connection::frame::PeerCall;
 use crate::sidecar::process::backend_admission::BackendCall;
@@ -21,8 +21,8 @@
 /// A request is given up after this many refusals without reaching a backend server.
 const UNSENT_REFUSALS_MAX: usize = 3;
 /// Refusals by backend servers after which a request is given up. If half of the sends are refused,
-/// about one request in a hundred is refused this often.
-const BACKEND_REFUSALS_MAX: usize = 7;
+/// about one request in four thousand is refused this often.
+const BACKEND_REFUSALS_MAX: usize = 12;
 /// Maximum wait for a first instance of the service to become available.
 const INSTANCE_WAIT: Duration = Duration::from_millis(150);
 const INSTANCE_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -44,7 +44,6 @@
 pub(crate) struct RequestDispatch<'a> {
     shared: &'a Arc<SidecarShared>,
     call: &'a mut BackendCall,
-    claim: RetryClaim,
     attempts_max: u32,
     tried: SmallVec<[u64; 4]>,
     /// Sends that may have reached a backend server.
@@ -54,6 +53,8 @@
     /// The instance that the request was last sent to.
     pub(crate) instance: Option<Arc<str>>,
     last_unknown: Option<UnknownCause>,
+    /// An error that a backend server answered before a resend.
+    last_error: Option<BackendAnswer>,
 }
 
 enum Destination {
@@ -79,20 +80,16 @@
         call: &'a mut BackendCall,
         attempts_max: u32,
     ) -> Self {
-        let claim = RetryClaim {
-            priority: call.context.rank.priority,
-            root_hash: xxh3_64(call.context.root_id.as_bytes()),
-        };
         RequestDispatch {
             shared,
             call,
-            claim,
             attempts_max: attempts_max.max(1),
             tried: SmallVec::new(),
             sends: 0,
             costs: CostList::new(),
             instance: None,
             last_unknown: None,
+            last_error: None,
         }
     }
 
@@ -103,8 +100,6 @@
 
     /// Sends the request until it is answered or given up.
     pub(crate) async fn run(&mut self) -> DispatchOutcome {
-        let service = self.call.context.service.clone();
-        self.count_first_send(&service);
         let (mut unsent, mut refused) = (0, 0);
         let mut last_refusal = (NotRunCause::NoBackend, 0);
         loop {
@@ -121,19 +116,19 @@
             match outcome {
                 CallOutcome::Answered(answer) => {
                     let is_own_failure = answer.is_server_error() && self.costs.len() <= 1;
-                    if !is_own_failure || !self.may_resend(&service) {
+                    if !is_own_failure || !self.may_resend() {
                         return DispatchOutcome::Answered(answer);
                     }
+                    self.last_error = Some(answer);
                 }
                 CallOutcome::NotRun { cause: NotRunCause::BackendRefused, capacity_in_millis } => {
                     refused += 1;
                     last_refusal = (NotRunCause::BackendRefused, capacity_in_millis);
-                    let is_given_up = refused >= BACKEND_REFUSALS_MAX || self.remaining().is_zero();
-                    // The refused send reached a backend server: a resend spends retry budget.
-                    if is_given_up || !self.spend_retry(&service) {
-                        return self
-                            .not_run_outcome(NotRunCause::BackendRefused, capacity_in_millis);
+                    if refused >= BACKEND_REFUSALS_MAX || self.remaining().is_zero() {
+                        return self.not_run_outcome(last_refusal.0, capacity_in_millis);
                     }
+                    // The refused send reached a backend server.
+                    self.mark_resend();
                 }
                 CallOutcome::NotRun { cause, capacity_in_millis } => {
                     unsent += 1;
@@ -144,7 +139,7 @@
                 }
                 CallOutcome::Unknown(cause) => {
                     self.last_unknown = Some(cause);
-                    if !self.may_resend(&service) {
+                    if !self.may_resend() {
                         return DispatchOutcome::Unknown(cause);
                     }
                 }
@@ -152,18 +147,11 @@
         }
     }
 
-    /// Counts the first send for the retry budget. A call of a resent run counts as a retry.
-    fn count_first_send(&self, service: &Arc<str>) {
-        let now = self.shared.clock.now();
-        let mut retries = self.shared.retries.lock().expect("lock not poisoned");
-        match self.call.context.is_repeat {
-            true => retries.charge(now, service),
-            false => retries.deposit(now, service),
-        }
-    }
-
     /// Returns `NotRun` only if no earlier send may have run.
-    fn not_run_outcome(&self, cause: NotRunCause, capacity_in_millis: u32) -> DispatchOutcome {
+    fn not_run_outcome(&mut self, cause: NotRunCause, capacity_in_millis: u32) -> DispatchOutcome {
+        if let Some(answer) = self.last_error.take() {
+            return DispatchOutcome::Answered(answer);
+        }
         match self.last_unknown {
             Some(unknown) => DispatchOutcome::Unknown(unknown),
             None => {
@@ -180,22 +168,21 @@
         self.call.deadline.until(self.shared.clock.now())
     }
 
-    fn may_resend(&mut self, service: &str) -> bool {
+    /// Prepares a resend if the request may be sent again; the instance that it is sent to checks
+    /// the retry budget.
+    fn may_resend(&mut self) -> bool {
         let has_time = self.remaining() > self.call.planned_time().mul_f64(RETRY_TIME_FRACTION);
-        !self.call.runs_once
-            && self.sends < self.attempts_max
-            && has_time
-            && self.spend_retry(service)
+        let may_resend = !self.call.runs_once && self.sends < self.attempts_max && has_time;
+        if may_resend {
+            self.mark_resend();
+        }
+        may_resend
     }
 
-    fn spend_retry(&mut self, service: &str) -> bool {
-        let now = self.shared.clock.now();
-        let mut retries = self.shared.retries.lock().expect("lock not poisoned");
-        let taken = retries.spend(now, service, self.claim);
-        drop(retries);
-        self.call.context.is_repeat |= taken;
-        self.shared.metrics.count(if taken { "retry" } else { "retry_refused" });
-        taken
+    fn mark_resend(&mut self) {
+        self.call.context.is_repeat = true;
+        self.call.context.is_resend = true;
+        self.shared.metrics.count("retry");
     }
 
     async fn next_destination(&self) -> Option<Destination> {
@@ -231,6 +218,10 @@
             }
         }
         let mut random = rand::rng();
+        let retry = self.call.context.is_resend.then(|| random.random::<f64>());
+        if let Some(index) = retry.and_then(|draw| choose_retry_instance(&candidates, draw)) {
+            return Some(destinations.swap_remove(index));
+        }
         let remaining = self.call.due.until(self.shared.clock.now());
         let penalty = zone_penalty(self.call.context.rank, remaining);
         let index = choose_instance(&candidates, penalty, || random.random::<f64>())?;
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause};
 use super::dispatch::{DispatchOutcome, RequestDispatch};
@@ -19,7 +20,8 @@
 use crate::error::ResultCode;
 use crate::policy::caller_retry::retry_delay;
 use crate::policy::request_rank::RequestRank;
-use crate::policy::root_admission::{RootDecision, RootGroup};
+use crate::policy::retry_allowance::hash_fraction;
+use crate::policy::root_admission::{RootDecision, RootGroup, RootLimit};
 use crate::policy::route_success::RECOVERY_TIME;
 use crate::request::header::{end_to_end, parse_number};
 use crate::sidecar::connection::backend_pool::header_pairs;
@@ -219,9 +221,11 @@
     if let Some(organisation) = &identified.organisation {
         check_quota(shared, organisation, &identified).await?;
     }
-    if identified.rank.is_root {
-        admit_root(shared, &identified)?;
-    }
+    let is_entitled = match &identified.parent {
+        Some(parent) => parent.context.is_entitled,
+        None if identified.rank.is_root => admit_root(shared, &identified, &trace.request)?,
+        None => false,
+    };
     let service = choose_service(shared, &identified.route);
     trace.service = Some(service.clone());
     let context = CallContext {
@@ -232,6 +236,8 @@
         caller_service: shared.settings.service.clone(),
         service,
         is_repeat: identified.parent.as_ref().is_some_and(|parent| parent.context.is_repeat),
+        is_resend: false,
+        is_entitled,
     };
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let forward = ForwardRequest {
@@ -359,11 +365,13 @@
     Err(refusal.retry_after(caller_retry_delay(shared, identified, None)))
 }
 
-/// Admits a root if recent runs of its route succeeded and the services it calls have capacity.
+/// Admits a root if recent runs of its route succeeded and the services it calls have capacity;
+/// returns whether it is entitled to retries that are short.
 fn admit_root(
     shared: &SidecarShared,
     identified: &IdentifiedRequest,
-) -> Result<(), RequestRefusal> {
+    request: &str,
+) -> Result<bool, RequestRefusal> {
     let now = shared.clock.now();
     let success_fraction = match identified.is_retry {
         true => None,
@@ -376,16 +384,24 @@
         let reason = format!("{:.0}% of recent runs of the route succeeded", fraction * 100.0);
         return Err(refuse_root(shared, identified, reason, Some(RECOVERY_TIME)));
     }
-    let (group, draw) = (root_group(identified), rand::random::<f64>());
+    // Roots with a low hash are also preferred where their calls need retries.
+    let draw = hash_fraction(xxh3_64(request.as_bytes()));
+    let group = root_group(identified);
     let mut admission = shared.root_admission.lock().expect("lock not poisoned");
     let decision = admission.admit(now, &group, identified.is_retry, draw);
     drop(admission);
-    let RootDecision::Refuse { service, fraction } = decision else {
-        return Ok(());
+    let (service, limit, fraction) = match decision {
+        RootDecision::Admit { is_entitled } => return Ok(is_entitled),
+        RootDecision::Refuse { service, limit, fraction } => (service, limit, fraction),
     };
     let kind = if identified.is_retry { "returns" } else { "first tries" };
-    let reason = format!("{service} is full: {:.0}% of the {kind} are admitted", fraction * 100.0);
-    Err(refuse_root(shared, identified, reason, None))
+    let (problem, capacity_in) = match limit {
+        RootLimit::Slots => ("is full", None),
+        RootLimit::Retries => ("refuses requests", Some(RECOVERY_TIME)),
+    };
+    let reason =
+        format!("{service} {problem}: {:.0}% of the {kind} are admitted", fraction * 100.0);
+    Err(refuse_root(shared, identified, reason, capacity_in))
 }
 
 fn refuse_root(
@@ -455,7 +471,6 @@
     trace: &mut RequestTrace<'_>,
 ) -> Result<BackendAnswer, RequestRefusal> {
     let remaining = call.deadline.until(shared.clock.now());
-    let service = call.context.service.clone();
     let mut dispatch = RequestDispatch::new(shared, call, identified.route.attempts_max);
     let ended = timeout(remaining, dispatch.run()).await;
     trace.sends = dispatch.sends;
@@ -466,7 +481,7 @@
     }
     if identified.rank.is_root && !dispatch.costs.is_empty() {
         let mut admission = shared.root_admission.lock().expect("lock not poisoned");
-        admission.observe_cost(&root_group(identified), &dispatch.costs);
+        admission.observe_cost(&identified.route.name, &dispatch.costs, succeeded);
     }
     if identified.rank.is_root && counts_for_success(&ended) {
         let mut success = shared.route_success.lock().expect("lock not poisoned");
@@ -475,7 +490,7 @@
     match ended {
         Ok(DispatchOutcome::Answered(answer)) => Ok(answer),
         Ok(DispatchOutcome::NotRun { cause, capacity_in }) => {
-            Err(not_run_refusal(shared, identified, &service, cause, capacity_in))
+            Err(not_run_refusal(shared, identified, cause, capacity_in))
         }
         Ok(DispatchOutcome::Unknown(cause)) => {
             Err(RequestRefusal::new(ResultCode::AnswerMissing, format!("{cause:?}")))
@@ -492,7 +507,9 @@
 /// Whether the outcome counts for the success fraction of the route.
 fn counts_for_success(ended: &Result<DispatchOutcome, Elapsed>) -> bool {
     match ended {
-        Ok(DispatchOutcome::NotRun { cause, .. }) => *cause == NotRunCause::BackendRefused,
+        Ok(DispatchOutcome::NotRun { cause, .. }) => {
+            matches!(cause, NotRunCause::BackendRefused | NotRunCause::RetryBudget)
+        }
         Ok(_) | Err(_) => true,
     }
 }
@@ -500,20 +517,14 @@
 fn not_run_refusal(
     shared: &SidecarShared,
     identified: &IdentifiedRequest,
-    service: &str,
     cause: NotRunCause,
     capacity_in: Option<Duration>,
 ) -> RequestRefusal {
     let code = match cause {
         NotRunCause::NoBackend | NotRunCause::Unreachable => ResultCode::NoUpstream,
         NotRunCause::TooLate => ResultCode::Overloaded,
-        NotRunCause::BackendRefused => ResultCode::BackendRefused,
+        NotRunCause::BackendRefused | NotRunCause::RetryBudget => ResultCode::BackendRefused,
     };
-    let mut reason = format!("{cause:?}");
-    if cause == NotRunCause::BackendRefused {
-        let fraction = shared.retries.lock().expect("lock not poisoned").eligible_fraction(service);
-        reason += &format!(", retry budget open to {:.0}% of roots", fraction * 100.0);
-    }
-    let refusal = RequestRefusal::new(code, reason);
+    let refusal = RequestRefusal::new(code, format!("{cause:?}"));
     refusal.retry_after(caller_retry_delay(shared, identified, capacity_in))
 }
--- a/tests/suite/platform/records.rs
+++ b/tests/suite/platform/records.rs
@@ -155,7 +155,10 @@
     expect_that!(settings.withdrawal_bound, eq(Duration::from_secs(5)));
     let window = RateWindow { span: Duration::from_secs(5), slack: 20.0 };
     expect_that!(settings.rate_window, eq(window));
-    expect_that!(settings.retry_terms, eq(RetryTerms { per_request: 0.2, slack: 50.0 }));
+    expect_that!(
+        settings.retry_terms,
+        eq(RetryTerms { per_request: 0.2, slack: 50.0, window: Duration::from_secs(10) })
+    );
     Ok(())
 }
 
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -9,4 +9,5 @@
 mod read_schedule;
 mod retries;
 mod roots;
+mod shed;
 mod tokens;
--- a/tests/suite/policy/admission_queue.rs
+++ b/tests/suite/policy/admission_queue.rs
@@ -5,7 +5,8 @@
 use googletest::prelude::*;
 use lentilway::clock::MilliTime;
 use lentilway::policy::admission_queue::{
-    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, WaitOutcome, WaitTicket,
+    AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
+    WaitTicket,
 };
 use lentilway::policy::request_rank::RequestRank;
 
@@ -26,7 +27,7 @@
     for rank in [RequestRank::root(0), RequestRank::call(0)] {
         for _ in 0..200 {
             queue.offer(MilliTime(0), request(rank, 9_000, 9_000));
-            queue.finish(MilliTime(0), rank, Duration::from_millis(50), false);
+            queue.finish(MilliTime(0), rank, Duration::from_millis(50), RunEnd::Answered);
         }
     }
     for _ in 0..LIMIT {
@@ -44,7 +45,7 @@
 }
 
 fn free_slot(queue: &mut AdmissionQueue, now: u64) -> Option<(WaitTicket, WaitOutcome)> {
-    queue.finish(MilliTime(now), RequestRank::call(0), Duration::from_millis(50), false);
+    queue.finish(MilliTime(now), RequestRank::call(0), Duration::from_millis(50), RunEnd::Answered);
     queue.next(MilliTime(now))
 }
 
@@ -152,7 +153,7 @@
         let now = MilliTime(step * 2);
         let deadline = now + Duration::from_secs(2);
         queue.offer(now, AdmissionRequest { rank, deadline, due: deadline });
-        queue.finish(now, rank, Duration::from_millis(1), true);
+        queue.finish(now, rank, Duration::from_millis(1), RunEnd::Refused);
     }
     // 500 requests a second of 50 ms each would need 25 slots, of 1 ms each half a slot.
     expect_that!(queue.load(MilliTime(4_000)).demand_permille, lt(100));
--- a/tests/suite/policy/model.rs
+++ b/tests/suite/policy/model.rs
@@ -5,7 +5,7 @@
 
 use lentilway::clock::MilliTime;
 use lentilway::policy::admission_queue::{
-    AdmissionDecision, AdmissionQueue, AdmissionRequest, WaitOutcome, WaitTicket,
+    AdmissionDecision, AdmissionQueue, AdmissionRequest, RunEnd, WaitOutcome, WaitTicket,
 };
 use lentilway::policy::request_rank::RequestRank;
 use lentilway::policy::root_admission::{
@@ -17,6 +17,7 @@
 
 pub(super) const SERVICE: &str = "prices";
 const REPORT_INTERVAL_MS: u64 = 20;
+const RETRIES_PER_REQUEST: f64 = 0.2;
 
 /// A kind of root request.
 #[derive(Clone, Copy, Debug)]
@@ -96,7 +97,7 @@
             rule,
             now,
             queue,
-            admission: RootAdmission::new(now),
+            admission: RootAdmission::new(now, RETRIES_PER_REQUEST),
             runs: HashMap::new(),
             waiting: HashMap::new(),
             ends: BTreeMap::new(),
@@ -110,7 +111,7 @@
         for millis in 1..=seconds * 1_000 {
             self.now = MilliTime(millis);
             if self.rule == EntryRule::Restarted && millis == seconds * 500 {
-                self.admission = RootAdmission::new(self.now);
+                self.admission = RootAdmission::new(self.now, RETRIES_PER_REQUEST);
             }
             self.end_runs();
             self.start_roots();
@@ -134,7 +135,8 @@
             let group = RootGroup { route: kind.name.into(), priority: kind.priority };
             let draw = self.random.random::<f64>();
             let decision = self.admission.admit(self.now, &group, false, draw);
-            if self.rule != EntryRule::Open && decision != RootDecision::Admit {
+            let is_refused = matches!(decision, RootDecision::Refuse { .. });
+            if self.rule != EntryRule::Open && is_refused {
                 continue;
             }
             self.next += 1;
@@ -189,15 +191,15 @@
         let kind = self.kinds[run.kind];
         let is_root = kind.calls == 0;
         let rank = RequestRank { is_root, priority: kind.priority };
-        self.queue.finish(self.now, rank, work, false);
+        self.queue.finish(self.now, rank, work, RunEnd::Answered);
         let millis = work.as_secs_f32() * 1_000.0;
-        add_cost(&mut run.costs, SlotCost { service: SERVICE.into(), millis });
+        add_cost(&mut run.costs, SlotCost { service: SERVICE.into(), millis, calls: 1.0 });
         run.calls_left -= 1;
         if run.calls_left > 0 {
             return self.call(id);
         }
         let run = self.runs.remove(&id).expect("the run exists");
-        self.observe_cost(&run);
+        self.observe_cost(&run, true);
         if self.now <= run.due {
             *self.result.served.entry(kind.name).or_default() += 1;
             self.result.credit += kind.credit;
@@ -224,13 +226,12 @@
     fn fail(&mut self, id: u64) {
         let run = self.runs.remove(&id).expect("only runs in flight fail");
         if !run.costs.is_empty() {
-            self.observe_cost(&run);
+            self.observe_cost(&run, false);
         }
     }
 
-    fn observe_cost(&mut self, run: &RootRun) {
-        let kind = self.kinds[run.kind];
-        let group = RootGroup { route: kind.name.into(), priority: kind.priority };
-        self.admission.observe_cost(&group, &run.costs);
+    fn observe_cost(&mut self, run: &RootRun, succeeded: bool) {
+        let route = self.kinds[run.kind].name.into();
+        self.admission.observe_cost(&route, &run.costs, succeeded);
     }
 }
--- a/tests/suite/policy/roots.rs
+++ b/tests/suite/policy/roots.rs
@@ -99,23 +99,22 @@
 
 #[gtest]
 fn observe_cost_failed_run() {
-    let mut admission = RootAdmission::new(MilliTime(0));
+    let mut admission = RootAdmission::new(MilliTime(0), 0.2);
     let known = RootGroup { route: "free".into(), priority: 2 };
     let costly = RootGroup { route: "costly".into(), priority: 2 };
     let mut costs = CostList::new();
-    add_cost(&mut costs, SlotCost { service: "deep".into(), millis: 200.0 });
+    add_cost(&mut costs, SlotCost { service: "deep".into(), millis: 200.0, calls: 1.0 });
     let mut free = CostList::new();
-    add_cost(&mut free, SlotCost { service: "other".into(), millis: 50.0 });
+    add_cost(&mut free, SlotCost { service: "other".into(), millis: 50.0, calls: 1.0 });
     let load = InstanceLoad { slots: 10, demand_permille: 3_000, ..InstanceLoad::default() };
     let mut refused = [0, 0];
     for step in 1..200_u64 {
         let now = MilliTime(step * 25);
         admission.observe_load(now, &"deep".into(), 1, &load);
         for (index, (group, costs)) in [(&known, &free), (&costly, &costs)].iter().enumerate() {
-            if admission.admit(now, group, false, 0.5) != RootDecision::Admit {
-                refused[index] += 1;
-            }
-            admission.observe_cost(group, costs);
+            let decision = admission.admit(now, group, false, 0.5);
+            refused[index] += u32::from(matches!(decision, RootDecision::Refuse { .. }));
+            admission.observe_cost(&group.route, costs, false);
         }
     }
     expect_that!(refused[0], eq(0));
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -338,7 +338,11 @@
             store_address: free_address(),
             withdrawal_bound: Duration::from_secs(5),
             config_bound: Duration::from_secs(2),
-            retry_terms: RetryTerms { per_request: 0.2, slack: 10.0 },
+            retry_terms: RetryTerms {
+                per_request: 0.2,
+                slack: 10.0,
+                window: Duration::from_secs(10),
+            },
             rate_window: RateWindow { span: Duration::from_secs(5), slack: 20.0 },
             stop_bound: Duration::from_secs(3),
         };
