Tokens: few hosts refill, a start grants a part, rare requests borrow when they come

Each of N daemons refilled rate/N and moved parts of 0.25 tokens, so that N/8 tokens lay idle, the first parts came late, and a daemon with a request in the last second fetched a whole token ahead: at 195 daemons more than the burst of a small organisation lay idle. Change: the 16 daemons with the highest weights refill (one in 64 in fleets above 1,000) and the first reachable of them is the pool; a start gives the first host 0.35 of the tolerated excess and the others the part of a transfer that their predecessors had; prefetch begins at one token per 0.4 s of demand; half of quota_overage counts as stock. Ruled out: a start by the time a daemon was down (a process does not know it); more stock (windows of a hot organisation).

--- a/src/policy/token_share.rs
+++ b/src/policy/token_share.rs
@@ -1,14 +1,18 @@
 //! Token bucket of one daemon's share of an organisation's rate.
 //!
 //! Handles an organisation that sends many times its rate through all daemons while daemons are
-//! killed, frozen and partitioned. Every daemon refills at an equal fraction of the rate. Tokens
-//! that it does not need go to the pool, the daemon chosen for the organisation by rendezvous
-//! hashing; a daemon that runs out asks the pool. A sender deducts tokens before it sends them, so
-//! tokens are lost with daemons and messages but never duplicated, also when the daemons' views of
-//! each other differ.
+//! killed, frozen and partitioned. Each of a few daemons, its hosts, refills at an equal fraction of
+//! the rate. Tokens that it does not need go to the pool, the first reachable host; a daemon that
+//! runs out asks the pool. A sender deducts tokens before it sends them, so tokens are lost with
+//! daemons and messages but never duplicated, also when the daemons' views of each other differ.
+//! With a refill at each of hundreds of daemons, the parts of tokens that lie at each would be more
+//! than a small organisation's burst.
 //!
 //! Also handles a surge of some tens of seconds in which organisations stay within rate and burst
 //! of every enforcement window: the burst of each window is granted evenly over it.
+//!
+//! Also handles the loss of all daemons at once, after which all callers return together: the first
+//! host starts with a part of what the enforcement tolerates beyond rate and burst.
 
 use std::time::Duration;
 
@@ -39,8 +43,13 @@
 /// Fraction of the burst that is granted in each window as additional rate; the rest stays in the
 /// bucket for uneven arrivals. `spread_over_surge_refuses_less` compares it with an unspread burst.
 const SPREAD_FRACTION: f64 = 0.75;
-/// Fraction of the tolerated excess that is added to the bucket; the rest covers tokens in transit.
-const SLACK_FRACTION: f64 = 0.5;
+/// Fraction of the tolerated excess that is added to the bucket; the rest covers tokens in transit
+/// and starts.
+const STOCK_FRACTION: f64 = 0.5;
+
+/// Fraction of the tolerated excess that is granted after a start. Before another one in the same
+/// window, nothing is refilled for some time.
+const START_FRACTION: f64 = 0.35;
 
 /// Window over which a platform enforces rates.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -50,6 +59,8 @@
     /// Requests beyond rate and burst that a span may admit: daemons cannot share whole tokens
     /// without holding some in reserve.
     pub slack: f64,
+    /// Fraction of rate and burst that a span may admit in addition.
+    pub overage: f64,
 }
 
 impl RateTerms {
@@ -63,7 +74,7 @@
     /// use std::time::Duration;
     /// use lentilway::policy::token_share::{RateTerms, RateWindow};
     /// let terms = RateTerms { per_second: 10.0, burst: 20.0 };
-    /// let window = RateWindow { span: Duration::from_secs(5), slack: 4.0 };
+    /// let window = RateWindow { span: Duration::from_secs(5), slack: 4.0, overage: 0.0 };
     /// assert_eq!(terms.spread_over(window), RateTerms { per_second: 13.0, burst: 7.0 });
     /// ```
     pub fn spread_over(self, window: RateWindow) -> RateTerms {
@@ -72,7 +83,28 @@
         }
         let moved = self.burst * SPREAD_FRACTION;
         let per_second = self.per_second + moved / window.span.as_secs_f64();
-        RateTerms { per_second, burst: self.burst - moved + window.slack * SLACK_FRACTION }
+        let stock = self.tolerated_excess(window) * STOCK_FRACTION;
+        RateTerms { per_second, burst: self.burst - moved + stock }
+    }
+
+    /// Requests beyond rate and burst that each span of `window` may admit.
+    fn tolerated_excess(self, window: RateWindow) -> f64 {
+        let whole = self.per_second * window.span.as_secs_f64() + self.burst;
+        whole * window.overage + window.slack
+    }
+
+    /// Tokens that the first host may hold after a start: what earlier processes admitted in the
+    /// same window is unknown, but they kept within the terms of [`RateTerms::spread_over`].
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::policy::token_share::{RateTerms, RateWindow};
+    /// let terms = RateTerms { per_second: 10.0, burst: 20.0 };
+    /// let window = RateWindow { span: Duration::from_secs(5), slack: 4.0, overage: 0.2 };
+    /// assert_eq!(terms.start_grant(window), 6.3);
+    /// ```
+    pub fn start_grant(self, window: RateWindow) -> f64 {
+        self.tolerated_excess(window) * START_FRACTION
     }
 }
 
@@ -86,16 +118,12 @@
     tokens: f64,
     refilled_at: MilliTime,
     demand: RateAverage,
-    /// Smallest surplus of the next transfer to the pool.
-    transfer_min: f64,
 }
 
 impl TokenShare {
-    /// A share without tokens. `draw`, from 0 to 1, spreads the daemons' transfers to the pool,
-    /// which could not hold them if all came at the same moment.
-    pub fn new(now: MilliTime, terms: RateTerms, draw: f64) -> Self {
+    /// A share without tokens.
+    pub fn new(now: MilliTime, terms: RateTerms) -> Self {
         TokenShare {
-            transfer_min: SURPLUS_MIN * draw,
             terms,
             members: 1,
             is_pool: false,
@@ -106,6 +134,13 @@
         }
     }
 
+    /// Adds the tokens with which a host starts: `granted`, and by `draw` (0 to 1) the part of a
+    /// transfer that the process before it had collected on average. Otherwise the transfers of all
+    /// hosts to the pool would begin late.
+    pub fn start(&mut self, granted: f64, draw: f64) {
+        self.tokens += granted + SURPLUS_MIN * draw;
+    }
+
     /// Sets the terms, the number of daemons that refill, whether this one does, and whether it is
     /// the pool. When the terms are lowered, tokens above the new bound are dropped; otherwise a
     /// borrower keeps its borrowed tokens.
@@ -134,7 +169,7 @@
     /// use lentilway::clock::MilliTime;
     /// use lentilway::policy::token_share::{RateTerms, TokenShare};
     /// let terms = RateTerms { per_second: 10.0, burst: 10.0 };
-    /// let mut share = TokenShare::new(MilliTime(0), terms, 0.5);
+    /// let mut share = TokenShare::new(MilliTime(0), terms);
     /// share.set_terms(MilliTime(0), terms, 2, true, false);
     /// assert!(!share.take(MilliTime(0)));
     /// assert!(share.take(MilliTime(200)));
@@ -166,10 +201,9 @@
             return None;
         }
         let surplus = self.tokens - self.reserve(now);
-        if surplus < self.transfer_min {
+        if surplus < SURPLUS_MIN {
             return None;
         }
-        self.transfer_min = SURPLUS_MIN;
         self.tokens -= surplus;
         Some(surplus)
     }
@@ -182,9 +216,10 @@
         (!self.is_pool && shortage > 0.0).then_some(shortage)
     }
 
-    /// Tokens to request from the pool ahead of expected demand.
+    /// Tokens to request from the pool ahead of expected demand, if that is at least a token until
+    /// the next exchanges. Tokens for rare requests would lie idle at each daemon.
     pub fn expected_shortage(&mut self, now: MilliTime) -> Option<f64> {
-        let has_demand = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64() >= SURPLUS_MIN;
+        let has_demand = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64() >= 1.0;
         has_demand.then(|| self.shortage(now)).flatten().filter(|shortage| *shortage >= SURPLUS_MIN)
     }
 
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -102,7 +102,6 @@
         let others = self.entries.iter().filter(|entry| entry.name != *own_name).cloned();
         shared.peers.set_entries(others.collect());
         connect_peers(shared);
-        shared.quota.set_members(self.entries.len());
         let own_service = &shared.settings.service;
         let instances = self.entries.iter().filter(|entry| entry.service == *own_service);
         shared.backend_admission.set_instances(instances.count());
--- a/src/sidecar/process/link_plan.rs
+++ b/src/sidecar/process/link_plan.rs
@@ -17,8 +17,10 @@
 const READING_GROUP_MAX: usize = 64;
 /// Reachable daemons before this one in its reading group that it links to.
 const READERS_LINKED: usize = 3;
-/// Daemons that hold the token pools of organisations.
-const POOL_HOSTS: usize = 16;
+/// Daemons that refill the tokens of organisations and hold their pools, at least.
+const POOL_HOSTS_MIN: usize = 16;
+/// Daemons for each such host in a large fleet.
+const DAEMONS_PER_POOL_HOST: usize = 64;
 /// Seed of the order in which daemons are chosen to hold pools; the same everywhere.
 const POOL_HOST_SEED: u64 = 1;
 
@@ -33,7 +35,7 @@
     pub(crate) readers: Vec<u64>,
     /// Daemons before this one in its reading group, linked or not.
     pub(crate) before: usize,
-    /// Those that hold token pools, maybe with this daemon.
+    /// Those that refill tokens and hold pools, maybe with this daemon.
     pub(crate) pool_hosts: Vec<u64>,
     services: Vec<Arc<str>>,
     unreachable: HashSet<u64>,
@@ -152,8 +154,9 @@
 
     fn pool_hosts(&self) -> Vec<u64> {
         let mut keys: Vec<u64> = self.entries.keys().copied().chain([self.own_key]).collect();
+        let hosts = keys.len().div_ceil(DAEMONS_PER_POOL_HOST).max(POOL_HOSTS_MIN);
         keys.sort_unstable_by_key(|key| rendezvous_weight(POOL_HOST_SEED, *key));
-        keys.truncate(POOL_HOSTS);
+        keys.truncate(hosts);
         keys
     }
 }
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -159,6 +159,13 @@
     by_service: HashMap<Arc<str>, Arc<[Arc<PeerEntry>]>>,
 }
 
+/// A daemon that refills tokens and holds pools.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PoolHost {
+    pub(crate) key: u64,
+    pub(crate) is_reachable: bool,
+}
+
 /// The daemons that this one links to.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
@@ -249,11 +256,15 @@
         self.lock().peers.get(&key).and_then(|(peer, _)| peer.link())
     }
 
-    /// The daemons that may hold token pools and are reachable, with this one if it may.
-    pub(crate) fn pool_hosts(&self) -> Vec<u64> {
+    /// The daemons that refill tokens and hold pools, maybe with this one.
+    pub(crate) fn pool_hosts(&self) -> Vec<PoolHost> {
         let state = self.lock();
-        let hosts = state.plan.pool_hosts.iter().copied();
-        hosts.filter(|key| *key == state.planner.own_key() || state.is_linked(*key)).collect()
+        let own_key = state.planner.own_key();
+        let hosts = state.plan.pool_hosts.iter().map(|key| PoolHost {
+            key: *key,
+            is_reachable: *key == own_key || state.is_linked(*key),
+        });
+        hosts.collect()
     }
 
     /// The reachable daemon that reads the store for this one; `None` if this one has to.
--- a/src/sidecar/process/quota_table.rs
+++ b/src/sidecar/process/quota_table.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 use xxhash_rust::xxh3::Xxh3;
 
-use super::peer_table::instance_key;
+use super::peer_table::{PoolHost, instance_key};
 use super::sidecar_shared::SidecarShared;
 use super::store_view::TopicView;
 use crate::clock::{MilliClock, MilliTime};
@@ -23,14 +23,20 @@
 const BORROW_TIMEOUT: Duration = Duration::from_millis(40);
 /// After a token request without success, requests are refused without waiting for this long.
 const EMPTY_POOL_BACKOFF: Duration = Duration::from_millis(60);
-/// Maximum age of the directory view for a refill, and the wait of a joining daemon before its
-/// first refill, so that no two daemons refill the same share of a rate.
+/// Maximum age of the directory view for a refill, and the wait of a new host before its first
+/// refill, so that no two daemons refill the same share of a rate.
 const VIEW_AGE_MAX: Duration = Duration::from_secs(6);
+/// Hosts of an organisation, which refill its tokens in equal parts.
+const HOSTS_PER_ORGANISATION: usize = 16;
 
 #[derive(Debug)]
 struct OrganisationQuota {
     share: TokenShare,
     pool: u64,
+    /// Since when this daemon may refill as a host; `None` if it is none.
+    refill_from: Option<MilliTime>,
+    /// Whether tokens were exchanged since the organisation is known here.
+    has_exchanged: bool,
     /// Requests waiting for tokens from the pool.
     waiting: u32,
     backoff_until: MilliTime,
@@ -39,15 +45,12 @@
 #[derive(Debug, Default)]
 struct QuotaState {
     quotas: HashMap<Arc<str>, OrganisationQuota>,
-    /// Daemons in the directory view.
-    members: usize,
-    /// Replacement times and member counts of earlier views.
-    former_members: Vec<(MilliTime, usize)>,
-    /// Whether a directory view was applied since the start.
-    has_directory: bool,
-    refill_from: Option<MilliTime>,
-    /// Whether the directory view was fresh at the last exchange.
-    has_fresh_view: bool,
+    /// Hosts of each organisation.
+    hosts: usize,
+    /// Replacement times and host counts of earlier views.
+    former_hosts: Vec<(MilliTime, usize)>,
+    /// Whether the first directory view after the start listed this daemon; `None` before it.
+    was_listed: Option<bool>,
 }
 
 /// This daemon's shares of all organisations' tokens.
@@ -80,48 +83,57 @@
 }
 
 impl QuotaState {
-    /// The number of daemons by which rates are divided: the largest in any view that another
-    /// daemon may still hold.
+    fn set_hosts(&mut self, now: MilliTime, hosts: usize) {
+        if hosts < self.hosts {
+            self.former_hosts.push((now, self.hosts));
+            self.former_hosts.retain(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
+        }
+        self.hosts = hosts;
+    }
+
+    /// The number of hosts by which rates are divided: the largest in any view that another daemon
+    /// may still hold.
     fn divisor(&self, now: MilliTime) -> usize {
-        let former =
-            self.former_members.iter().filter(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
-        former.map(|(_, count)| *count).max().unwrap_or(0).max(self.members)
+        let former = self.former_hosts.iter().filter(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
+        former.map(|(_, count)| *count).max().unwrap_or(0).max(self.hosts)
+    }
+}
+
+impl OrganisationQuota {
+    /// Updates whether this daemon refills. A host that was one when it started was counted by all
+    /// others; a new one waits until every older view has expired.
+    fn update_host(&mut self, now: MilliTime, is_host: bool, was_listed: bool) {
+        let is_first = !std::mem::replace(&mut self.has_exchanged, true);
+        if !is_host {
+            self.refill_from = None;
+        } else if self.refill_from.is_none() {
+            let wait = if is_first && was_listed { Duration::ZERO } else { VIEW_AGE_MAX };
+            self.refill_from = Some(now + wait);
+        }
     }
 
     fn can_refill(&self, now: MilliTime) -> bool {
-        let has_joined = self.refill_from.is_some_and(|from| now >= from);
-        has_joined && self.has_fresh_view
+        self.refill_from.is_some_and(|from| now >= from)
     }
 }
 
+/// The hosts of an organisation, the first one first.
+fn organisation_hosts(organisation: &str, hosts: &[PoolHost]) -> Vec<PoolHost> {
+    let mut hosts = hosts.to_vec();
+    hosts.sort_by_key(|host| std::cmp::Reverse(rendezvous_weight(organisation, host.key)));
+    hosts.truncate(HOSTS_PER_ORGANISATION);
+    hosts
+}
+
 impl QuotaTable {
     pub(crate) fn new(clock: MilliClock, own_name: &str, window: RateWindow) -> Self {
         let own_key = instance_key(own_name);
         QuotaTable { clock, own_key, window, state: Mutex::default(), received: Notify::new() }
     }
 
-    /// Sets the number of daemons in the directory.
-    pub(crate) fn set_members(&self, members: usize) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if members < state.members {
-            let former = state.members;
-            state.former_members.push((now, former));
-            state.former_members.retain(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
-        }
-        state.members = members;
-    }
-
-    /// Records whether the directory lists this daemon. One that is listed when it starts was
-    /// counted in every view of the others; one that joins refills only after every older view has
-    /// expired.
+    /// Records whether a directory view lists this daemon.
     pub(crate) fn record_listed(&self, is_listed: bool) {
-        let mut state = self.lock();
-        let is_first = !std::mem::replace(&mut state.has_directory, true);
-        if is_listed && state.refill_from.is_none() {
-            let wait = if is_first { Duration::ZERO } else { VIEW_AGE_MAX };
-            state.refill_from = Some(self.clock.now() + wait);
-        }
+        self.lock().was_listed.get_or_insert(is_listed);
     }
 
     /// Applies the rates of a new configuration.
@@ -133,11 +145,12 @@
         });
         for organisation in config.organisations() {
             if let Some(terms) = organisation.rate {
-                let draw = rand::random::<f64>();
                 let quota = state.quotas.entry(organisation.name.clone());
                 quota.or_insert_with(|| OrganisationQuota {
-                    share: TokenShare::new(now, terms.spread_over(self.window), draw),
+                    share: TokenShare::new(now, terms.spread_over(self.window)),
                     pool: self.own_key,
+                    refill_from: None,
+                    has_exchanged: false,
                     waiting: 0,
                     backoff_until: MilliTime(0),
                 });
@@ -190,11 +203,11 @@
         };
         let terms = organisation.rate.unwrap_or(RateTerms { per_second: 0.0, burst: 0.0 });
         format!(
-            "{:.2} local tokens, rate {}/s over {} daemons, refill {}, pool {}",
+            "{:.2} local tokens, rate {}/s over {} hosts, refill {}, pool {}",
             quota.share.tokens(),
             terms.per_second,
             state.divisor(now),
-            state.can_refill(now),
+            quota.can_refill(now),
             if quota.pool == self.own_key { "here" } else { "asked" },
         )
     }
@@ -293,23 +306,37 @@
     fn exchange(
         &self,
         config: &FleetConfig,
-        hosts: &[u64],
+        hosts: &[PoolHost],
         directory: &TopicView,
     ) -> HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> {
         let now = self.clock.now();
         let mut transfers: HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> = HashMap::new();
         let mut state = self.lock();
-        state.has_fresh_view = directory.is_fresh(now, VIEW_AGE_MAX);
-        let (divisor, can_refill) = (state.divisor(now), state.can_refill(now));
+        let has_fresh_view = directory.is_fresh(now, VIEW_AGE_MAX);
+        let Some(was_listed) = state.was_listed else {
+            return transfers;
+        };
+        state.set_hosts(now, hosts.len().min(HOSTS_PER_ORGANISATION));
+        let divisor = state.divisor(now);
         for (name, quota) in &mut state.quotas {
             let Some(terms) = config.organisation(name).and_then(|found| found.rate) else {
                 continue;
             };
-            let pool = hosts.iter().max_by_key(|host| rendezvous_weight(name, **host));
-            quota.pool = pool.copied().unwrap_or(self.own_key);
+            let hosts = organisation_hosts(name, hosts);
+            let pool = hosts.iter().find(|host| host.is_reachable);
+            quota.pool = pool.map_or(self.own_key, |host| host.key);
             let is_pool = quota.pool == self.own_key;
+            let is_host = hosts.iter().any(|host| host.key == self.own_key);
+            let starts = was_listed && !quota.has_exchanged && is_host;
+            quota.update_host(now, is_host, was_listed);
             let spread = terms.spread_over(self.window);
+            let can_refill = has_fresh_view && quota.can_refill(now);
             quota.share.set_terms(now, spread, divisor, can_refill, is_pool);
+            if starts {
+                let is_first = hosts.first().is_some_and(|host| host.key == self.own_key);
+                let granted = if is_first { terms.start_grant(self.window) } else { 0.0 };
+                quota.share.start(granted, rand::random::<f64>());
+            }
             if let Some(tokens) = quota.share.take_surplus(now) {
                 let amount = TokenAmount { organisation: name.clone(), tokens };
                 transfers.entry(quota.pool).or_default().0.push(amount);
@@ -330,8 +357,13 @@
 pub(crate) async fn exchange_tokens(shared: Arc<SidecarShared>) {
     let mut ticks = interval(EXCHANGE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut changes = shared.store_view.subscribe();
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            // A starting daemon grants tokens as soon as it knows the rates and the hosts.
+            _ = changes.changed() => {}
+        }
         let Some(config) = shared.config() else {
             continue;
         };
--- a/stand-ins/src/platform/mod.rs
+++ b/stand-ins/src/platform/mod.rs
@@ -59,7 +59,7 @@
          [network.listen_addrs]\ninbound = \"{inbound}\"\noutbound = \"{outbound}\"\n\
          ready = \"{ready}\"\ncontrol = \"{control}\"\n\
          [platform.platform]\naddress = \"{store}\"\n\
-         [terms.bounds]\nrevoke_s = 5\ngrace_s = 6\nquota_window_s = 5\nquota_slack = 20\n\
+         [terms.bounds]\nrevoke_s = 5\ngrace_s = 6\nquota_window_s = 5\nquota_slack = 20\nquota_overage = 0.1\n\
          retry_budget_ratio = 0.2\nbudget_slack = 50\n",
         first_port + 1,
     )
--- a/tests/suite/platform/records.rs
+++ b/tests/suite/platform/records.rs
@@ -142,6 +142,7 @@
 grace_s = 6
 quota_window_s = 5
 quota_slack = 20
+quota_overage = 0.1
 retry_budget_ratio = 0.2
 budget_slack = 50
 "#;
@@ -153,7 +154,7 @@
     expect_that!(settings.request_listen.port(), eq(8548));
     expect_that!(settings.metrics_listen.port(), eq(7001));
     expect_that!(settings.withdrawal_bound, eq(Duration::from_secs(5)));
-    let window = RateWindow { span: Duration::from_secs(5), slack: 20.0 };
+    let window = RateWindow { span: Duration::from_secs(5), slack: 20.0, overage: 0.1 };
     expect_that!(settings.rate_window, eq(window));
     expect_that!(
         settings.retry_terms,
--- a/tests/suite/policy/tokens.rs
+++ b/tests/suite/policy/tokens.rs
@@ -12,14 +12,17 @@
 
 const DAEMONS: usize = 14;
 /// Enforcement window of rates.
-const WINDOW: RateWindow = RateWindow { span: Duration::from_secs(5), slack: 20.0 };
+const WINDOW: RateWindow = RateWindow { span: Duration::from_secs(5), slack: 20.0, overage: 0.1 };
 /// A small organisation, of which each daemon refills one token in five seconds.
 const SMALL: RateTerms = RateTerms { per_second: 13.0, burst: 13.0 };
 const MANY_DAEMONS: usize = 66;
 const TERMS: RateTerms = RateTerms { per_second: 38.0, burst: 38.0 };
 const EXCHANGE_INTERVAL_MS: u64 = 200;
 
-/// Daemons that share a rate; the first is the pool.
+/// Daemons that refill a rate.
+const HOSTS: usize = 16;
+
+/// Daemons that share a rate; the first of the hosts is the pool.
 struct TokenFleet {
     shares: Vec<TokenShare>,
     admitted: Vec<u64>,
@@ -33,15 +36,26 @@
 
     fn with_terms(terms: RateTerms, daemons: usize) -> Self {
         let now = MilliTime(0);
-        let mut random = StdRng::seed_from_u64(daemons as u64);
-        let mut shares: Vec<TokenShare> =
-            (0..daemons).map(|_| TokenShare::new(now, terms, random.random())).collect();
+        let mut shares = vec![TokenShare::new(now, terms); daemons];
         for (index, share) in shares.iter_mut().enumerate() {
-            share.set_terms(now, terms, daemons, true, index == 0);
+            share.set_terms(now, terms, daemons.min(HOSTS), index < HOSTS, index == 0);
         }
         TokenFleet { shares, admitted: Vec::new(), refused: 0 }
     }
 
+    /// Replaces all processes.
+    fn restart(&mut self, now: MilliTime, terms: RateTerms, random: &mut StdRng) {
+        let (spread, daemons) = (terms.spread_over(WINDOW), self.shares.len());
+        for (index, share) in self.shares.iter_mut().enumerate() {
+            *share = TokenShare::new(now, spread);
+            share.set_terms(now, spread, daemons.min(HOSTS), index < HOSTS, index == 0);
+            let granted = if index == 0 { terms.start_grant(WINDOW) } else { 0.0 };
+            if index < HOSTS {
+                share.start(granted, random.random());
+            }
+        }
+    }
+
     fn exchange(&mut self, now: MilliTime) {
         for index in 1..self.shares.len() {
             if let Some(surplus) = self.shares[index].take_surplus(now) {
@@ -165,10 +179,74 @@
     }
 }
 
+/// An organisation of few requests per second, far fewer than there are daemons, gets its rate.
+#[gtest]
+fn take_far_fewer_requests_than_daemons() {
+    for (per_second, daemons) in [(5.0, 195), (13.0, 66), (5.0, 1_000)] {
+        let terms = RateTerms { per_second, burst: per_second }.spread_over(WINDOW);
+        let refused = refused_in_surge(terms, daemons, per_second / 1.05);
+        expect_that!(refused, lt(0.02), "{per_second}/s over {daemons} daemons");
+    }
+}
+
+/// Fraction of the requests that are refused in the first two seconds after all daemons restarted.
+fn refused_after_restart(terms: RateTerms, daemons: usize, has_start: bool) -> f64 {
+    let spread = terms.spread_over(WINDOW);
+    let (mut refused, mut asked) = (0, 0);
+    for seed in 0..20 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = TokenFleet::with_terms(spread, daemons);
+        for index in 0..if has_start { daemons.min(HOSTS) } else { 0 } {
+            let granted = if index == 0 { terms.start_grant(WINDOW) } else { 0.0 };
+            fleet.shares[index].start(granted, random.random());
+        }
+        // Callers return together: twice the usual demand.
+        fleet.run(0, 2_000, terms.per_second / 1.6 * 2.0, &mut random);
+        refused += fleet.refused;
+        asked += fleet.refused + fleet.admitted.len() as u32;
+    }
+    f64::from(refused) / f64::from(asked)
+}
+
+/// After a loss of all daemons, the callers that return are within what their organisation may send.
+#[gtest]
+fn start_after_loss_of_all() {
+    for (per_second, daemons) in [(5.0, 25), (5.0, 195), (13.0, 195), (40.0, 195)] {
+        let terms = RateTerms { per_second, burst: per_second };
+        let before = refused_after_restart(terms, daemons, false);
+        let after = refused_after_restart(terms, daemons, true);
+        println!("{per_second}/s over {daemons}: refused {before:.3}, with a start {after:.3}");
+        expect_that!(after, lt(0.3 * before), "{per_second}/s over {daemons}");
+    }
+}
+
+/// An organisation at many times its rate while all daemons restart, twice within a window.
+#[gtest]
+fn start_hot_organisation_bounded() {
+    for (per_second, daemons) in [(5.0, 195), (13.0, 66), (69.0, 195), (38.0, 14)] {
+        let terms = RateTerms { per_second, burst: per_second };
+        for seed in 0..10 {
+            let mut random = StdRng::seed_from_u64(seed);
+            let mut fleet = TokenFleet::with_terms(terms.spread_over(WINDOW), daemons);
+            fleet.run(0, 8_000, per_second * 0.3, &mut random);
+            let mut now = 8_000;
+            for until in [9_000, 11_500, 20_000] {
+                fleet.run(now, until, per_second * 8.0, &mut random);
+                // The processes are gone for half a second.
+                now = until + 500;
+                fleet.restart(MilliTime(now), terms, &mut random);
+            }
+            let whole = per_second * 5.0 + per_second;
+            let bound = whole * (1.0 + WINDOW.overage) + WINDOW.slack;
+            expect_that!(fleet.max_in(5_000) as f64, le(bound), "{per_second}/s, seed {seed}");
+        }
+    }
+}
+
 /// A fraction of a token admits no request at the borrower and would be missing at the pool.
 #[gtest]
 fn lend_whole_tokens() {
-    let mut pool = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut pool = TokenShare::new(MilliTime(0), TERMS);
     pool.set_terms(MilliTime(0), TERMS, DAEMONS, false, true);
     pool.receive(MilliTime(0), 1.6);
     expect_that!(pool.lend(MilliTime(1), 4.0), eq(1.0));
@@ -179,7 +257,7 @@
 /// Idle daemons transfer their refill above the reserve to the pool.
 #[gtest]
 fn take_surplus_idle() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, true, false);
     let ticks = (1..=100).map(|tick| share.take_surplus(MilliTime(tick * EXCHANGE_INTERVAL_MS)));
     let given: f64 = ticks.flatten().sum();
@@ -189,7 +267,7 @@
 /// A borrower keeps the tokens that its demand needs, even beyond its share of the burst.
 #[gtest]
 fn receive_loan_above_share_of_burst() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     for step in 0..20 {
         share.take(MilliTime(step * 50));
@@ -203,7 +281,7 @@
 /// Terms are set with every exchange; unchanged terms must not drop a borrower's tokens.
 #[gtest]
 fn set_terms_unchanged_keeps_loan() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     for step in 0..20 {
         share.take(MilliTime(step * 50));
@@ -216,7 +294,7 @@
 /// A daemon that lacks a small fraction of a token for a request borrows it.
 #[gtest]
 fn shortage_fraction_of_a_token() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     share.receive(MilliTime(0), 0.9);
     expect_that!(share.take(MilliTime(1)), eq(false));
@@ -225,7 +303,7 @@
 
 #[gtest]
 fn set_terms_lowered_clips() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
     share.set_terms(MilliTime(0), TERMS, 1, true, true);
     share.take_uncounted(MilliTime(10_000));
     let low = RateTerms { per_second: 2.0, burst: 2.0 };
@@ -235,7 +313,7 @@
 
 #[gtest]
 fn refill_not_a_member_yet() {
-    let mut share = TokenShare::new(MilliTime(0), TERMS, 0.5);
+    let mut share = TokenShare::new(MilliTime(0), TERMS);
     share.set_terms(MilliTime(0), TERMS, DAEMONS, false, false);
     expect_that!(share.take(MilliTime(60_000)), eq(false));
 }
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -343,7 +343,7 @@
                 slack: 10.0,
                 window: Duration::from_secs(10),
             },
-            rate_window: RateWindow { span: Duration::from_secs(5), slack: 20.0 },
+            rate_window: RateWindow { span: Duration::from_secs(5), slack: 20.0, overage: 0.1 },
             stop_bound: Duration::from_secs(3),
         };
         let log = DecisionLog::new(MilliClock::monotonic(), Box::new(std::io::sink()));
