Bounds on what servers, callers and strangers may send without end

Worse, hyper skips interim answers, empty lines and digits of a chunk size for as long as they come: a poll went on for 5 s (floods::answer_without_end on: 52 MB of interim answers, 65 MB of chunk sizes, the connection open 3.5 s after the deadline). One such server would have stopped the whole daemon. A connection is pooled again only after the bytes behind an answer had a chance to close it.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! patterns.
 
 pub mod admission_queue;
+pub mod body_limit;
 pub mod caller_retry;
 pub mod freshness;
 pub mod incarnation;
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -5,17 +5,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, DATE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, yield_now};
 use tokio::time::timeout;
 
 use crate::clock::{MilliClock, MilliTime};
 use crate::request::header::end_to_end;
+use crate::sidecar::connection::metered_stream::{MeteredStream, ReadMeter};
+use crate::sidecar::process::body_budget::{BodyBudget, BodyError, UsualSize};
 use crate::sidecar::process::wire_dialect::HeaderNames;
 use crate::sidecar::request::context::{
     BackendAnswer, CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
@@ -31,6 +33,13 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Maximum size of an answer's body.
 const ANSWER_BYTES_MAX: usize = 64 << 20;
+/// Maximum bytes of an answer before its head is complete, interim answers among them.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
+/// Maximum bytes between two parts of a body, such as sizes and extensions of chunks, and what is
+/// read ahead.
+const FRAMING_BYTES_MAX: usize = 192 * 1024;
+/// Read buffer of a connection.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// The address and id of the backend server for an exchange.
 #[derive(Clone, Debug)]
@@ -55,6 +64,7 @@
     address: SocketAddr,
     idle_since: MilliTime,
     idle_max: Duration,
+    meter: Arc<ReadMeter>,
     _task: ConnectionTask,
 }
 
@@ -63,17 +73,15 @@
 pub(crate) struct BackendPool {
     clock: MilliClock,
     headers: HeaderNames,
+    bodies: Arc<BodyBudget>,
+    usual_size: UsualSize,
     idle: Mutex<Vec<PooledConnection>>,
 }
 
-enum ExchangeError {
-    Broken,
-    Spoiled,
-}
-
 impl BackendPool {
-    pub(crate) fn new(clock: MilliClock, headers: HeaderNames) -> Self {
-        BackendPool { clock, headers, idle: Mutex::default() }
+    pub(crate) fn new(clock: MilliClock, headers: HeaderNames, bodies: Arc<BodyBudget>) -> Self {
+        let usual_size = UsualSize::default();
+        BackendPool { clock, headers, bodies, usual_size, idle: Mutex::default() }
     }
 
     /// Closes every idle connection.
@@ -110,6 +118,7 @@
                 },
             };
             let mut connection = connection;
+            connection.meter.allow(HEAD_BYTES_MAX);
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
                     return self.finish_exchange(connection, answer, context).await;
@@ -135,8 +144,10 @@
     ) -> CallOutcome {
         let keep_alive = keep_alive_timeout(answer.headers());
         let closes = has_connection_close(answer.headers());
-        match self.receive(answer, context).await {
+        match self.receive(answer, context, &connection.meter).await {
             Ok(outcome) => {
+                // Bytes after the answer close the connection.
+                yield_now().await;
                 if !closes && !connection.sender.is_closed() {
                     connection.idle_max = keep_alive.unwrap_or(IDLE_MAX).min(IDLE_MAX);
                     connection.idle_since = self.clock.now();
@@ -144,8 +155,7 @@
                 }
                 outcome
             }
-            Err(ExchangeError::Broken) => CallOutcome::Unknown(UnknownCause::Broken),
-            Err(ExchangeError::Spoiled) => CallOutcome::Unknown(UnknownCause::Spoiled),
+            Err(cause) => CallOutcome::Unknown(cause),
         }
     }
 
@@ -153,14 +163,21 @@
         &self,
         answer: Response<hyper::body::Incoming>,
         context: &CallContext,
-    ) -> Result<CallOutcome, ExchangeError> {
+        meter: &ReadMeter,
+    ) -> Result<CallOutcome, UnknownCause> {
         let (parts, body) = answer.into_parts();
         let id = parts.headers.get(&self.headers.request_id);
         if id.is_some_and(|id| id.as_bytes() != context.request_id.as_bytes()) {
-            return Err(ExchangeError::Spoiled);
+            return Err(UnknownCause::Spoiled);
         }
-        let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
-        let body = body.map_err(|_| ExchangeError::Broken)?.to_bytes();
+        meter.allow(FRAMING_BYTES_MAX);
+        let on_frame = || meter.allow(FRAMING_BYTES_MAX);
+        let received =
+            self.bodies.receive(body, ANSWER_BYTES_MAX, &self.usual_size, on_frame).await;
+        let (body, _lease) = received.map_err(|error| match error {
+            BodyError::TooLarge { .. } => UnknownCause::TooLarge,
+            BodyError::Broken { .. } => UnknownCause::Broken,
+        })?;
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_misdirected || parts.headers.contains_key(&self.headers.not_run) {
             let cause = NotRunCause::BackendRefused;
@@ -170,7 +187,7 @@
         let is_encoded = parts.headers.contains_key(CONTENT_ENCODING);
         let has_request_id = id_matches(&parts.headers, &self.headers.request_id, context);
         if parts.status.is_success() && (!is_signed || is_encoded || !has_request_id) {
-            return Err(ExchangeError::Spoiled);
+            return Err(UnknownCause::Spoiled);
         }
         let mut headers = end_to_end(&parts.headers);
         // The daemon that received the request sets the id and the date itself.
@@ -228,8 +245,11 @@
     async fn connect(&self, address: SocketAddr) -> std::io::Result<PooledConnection> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
+        let meter = Arc::new(ReadMeter::default());
+        let stream = TokioIo::new(MeteredStream::new(stream, meter.clone()));
+        let builder = Builder::new().max_buf_size(READ_BUFFER_BYTES).to_owned();
         let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+            builder.handshake(stream).await.map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
             // The exchange reports the connection's error.
             let _ = connection.await;
@@ -239,6 +259,7 @@
             address,
             idle_since: self.clock.now(),
             idle_max: IDLE_MAX,
+            meter,
             _task: ConnectionTask(task),
         })
     }
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -9,8 +9,10 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 
+use crate::policy::body_limit::SMALL_BODY_BYTES;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::root_admission::CostList;
+use crate::sidecar::process::body_budget::{BodyBudget, BodyLease};
 use crate::sidecar::process::topic_replica::TopicUpdate;
 use crate::sidecar::request::context::{CallContext, CallOutcome, ForwardRequest};
 
@@ -124,11 +126,16 @@
 pub(crate) struct FrameReader {
     socket: OwnedReadHalf,
     buffer: BytesMut,
+    bodies: Arc<BodyBudget>,
+    /// Memory for the large frame that is being read.
+    lease: Option<BodyLease>,
 }
 
 impl FrameReader {
-    pub(crate) fn new(socket: OwnedReadHalf) -> Self {
-        FrameReader { socket, buffer: BytesMut::with_capacity(READ_BUFFER_BYTES) }
+    /// A reader whose large frames take part in the budget of the bodies in flight.
+    pub(crate) fn new(socket: OwnedReadHalf, bodies: Arc<BodyBudget>) -> Self {
+        let buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+        FrameReader { socket, buffer, bodies, lease: None }
     }
 
     /// Reads the next message. Cancel-safe.
@@ -153,8 +160,13 @@
             return Err(LinkError::FrameTooLong { length });
         }
         if self.buffer.len() < LENGTH_BYTES + length {
+            if length > SMALL_BODY_BYTES && self.lease.is_none() {
+                let lease = self.bodies.lease(length);
+                self.lease = Some(lease.ok_or(LinkError::FrameTooLong { length })?);
+            }
             return Ok(None);
         }
+        self.lease = None;
         self.buffer.advance(LENGTH_BYTES);
         let frame = self.buffer.split_to(length);
         Ok(Some(postcard::from_bytes(&frame)?))
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod backend_pool;
 pub(crate) mod frame;
+pub(crate) mod metered_stream;
 pub(crate) mod peer_link;
 pub(crate) mod peer_server;
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -135,7 +135,8 @@
     let (sender, queue) = mpsc::unbounded_channel();
     let link = Arc::new(PeerLink::new(sender));
     let writing = write_frames(write_half, queue);
-    let reading = read_messages(shared, peer, &link, FrameReader::new(read_half));
+    let reading =
+        read_messages(shared, peer, &link, FrameReader::new(read_half, shared.bodies.clone()));
     let error = tokio::select! {
         result = writing => result.err().unwrap_or(LinkError::Closed),
         error = reading => error,
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -42,6 +42,7 @@
 
 /// Number of the request for records that a starting daemon sends over a link to it.
 const START_REQUEST: u64 = 0;
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A daemon that asked for records gets changes unasked for this long.
 const FOLLOWER_SPAN: Duration = Duration::from_secs(3);
 
@@ -85,7 +86,7 @@
 async fn serve_link(shared: Arc<SidecarShared>, stream: TcpStream) {
     let (read_half, write_half) = stream.into_split();
     let (sender, queue) = mpsc::unbounded_channel();
-    let mut reader = FrameReader::new(read_half);
+    let mut reader = FrameReader::new(read_half, shared.bodies.clone());
     // The daemon that opened the link logs why it ended.
     tokio::select! {
         _ = write_frames(write_half, queue) => {}
@@ -104,6 +105,8 @@
         return LinkError::Closed;
     }
     let mut start_request = None;
+    let mut start_checks = interval(START_CHECK_INTERVAL);
+    start_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut follower = RecordFollower::default();
     let (ended_sender, mut ended) = mpsc::unbounded_channel();
     let mut load_changes = shared.backend_admission.subscribe();
@@ -168,8 +171,13 @@
                 }
             }
             _ = keepalive.tick() => {
+                if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
+                    return LinkError::Closed;
+                }
+            }
+            // This daemon has just started, with many others or while the store is down.
+            _ = start_checks.tick(), if !shared.is_listed() => {
                 if shared.take_start_request() {
-                    // This daemon has just started, with many others or while the store is down.
                     start_request = Some(shared.clock.now());
                     let ask = PeerMessage::AskRecords {
                         number: START_REQUEST,
@@ -180,9 +188,6 @@
                         return LinkError::Closed;
                     }
                 }
-                if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
-                    return LinkError::Closed;
-                }
             }
             () = &mut silence => return LinkError::Silent,
         }
--- a/src/sidecar/process/settings.rs
+++ b/src/sidecar/process/settings.rs
@@ -38,6 +38,8 @@
     pub rate_window: RateWindow,
     /// The retry budget.
     pub retry_terms: RetryTerms,
+    /// Memory for the bodies of messages in flight, in bytes.
+    pub body_bytes: usize,
     /// Time after which a stopping process is killed.
     pub stop_bound: Duration,
 }
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -10,6 +10,7 @@
 
 use super::backend_admission::{BackendAdmission, BackendCall};
 use super::backend_watch::BackendWatch;
+use super::body_budget::{BodyBudget, UsualSize};
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{DirectoryEntry, DirectoryView, apply_directory};
 use super::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
@@ -35,8 +36,9 @@
 
 /// Safety margin of the withdrawal bound, for clocks with millisecond resolution and late timers.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(200);
-/// Time between requests for the directory to daemons that linked to this one.
-const START_REQUEST_DELAY: Duration = Duration::from_millis(200);
+/// Time between requests for the directory to daemons that linked to this one. Before the first one,
+/// the store answers if it works.
+const START_REQUEST_DELAY: Duration = Duration::from_millis(100);
 /// Maximum proof age of a ready daemon, as a fraction of the withdrawal bound. With an older proof,
 /// callers should use other daemons.
 const READY_PROOF_AGE_FRACTION: f64 = 0.6;
@@ -62,6 +64,10 @@
     pub(crate) own_key: u64,
     pub(crate) store_view: StoreView,
     pub(crate) directory: Mutex<DirectoryView>,
+    /// Memory for the bodies in flight.
+    pub(crate) bodies: Arc<BodyBudget>,
+    /// The usual size of requests' bodies.
+    pub(crate) request_size: UsualSize,
     /// When this process started.
     pub(crate) started: MilliTime,
     /// Whether the directory known here lists this daemon.
@@ -101,7 +107,9 @@
         clock: MilliClock,
         log: DecisionLog,
     ) -> Self {
-        let pool = BackendPool::new(clock.clone(), dialect.headers().clone());
+        let bodies = BodyBudget::new(settings.body_bytes);
+        let headers = dialect.headers().clone();
+        let pool = BackendPool::new(clock.clone(), headers, bodies.clone());
         let now = clock.now();
         SidecarShared {
             backend_admission: BackendAdmission::new(
@@ -121,9 +129,11 @@
             own_key: instance_key(&settings.name),
             store_view: StoreView::new(clock.clone()),
             directory: Mutex::default(),
+            bodies,
+            request_size: UsualSize::default(),
             started: now,
             listed: watch::Sender::new(false),
-            next_start_request: Mutex::new(now),
+            next_start_request: Mutex::new(now + START_REQUEST_DELAY),
             config: ArcSwapOption::empty(),
             lost_dependencies: Mutex::default(),
             metrics: SidecarMetrics::default(),
--- a/src/sidecar/request/context.rs
+++ b/src/sidecar/request/context.rs
@@ -100,6 +100,8 @@
     Spoiled,
     /// No answer arrived before the deadline.
     Expired,
+    /// The answer's body is larger than this daemon can take.
+    TooLarge,
 }
 
 /// The outcome of a call.
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -104,8 +104,9 @@
         let mut last_refusal = (NotRunCause::NoBackend, 0);
         loop {
             let is_refused = last_refusal.0 == NotRunCause::BackendRefused && refused > 0;
-            if is_refused && self.choose_destination().is_none() {
-                // All instances were tried. One that sheds only a fraction may accept a resend.
+            let is_resend = is_refused || self.last_unknown.is_some() || self.last_error.is_some();
+            if is_resend && self.choose_destination().is_none() {
+                // All instances were tried. One that fails only a fraction may accept a resend.
                 self.tried.clear();
             }
             let Some(destination) = self.next_destination().await else {
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause};
+use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause, UnknownCause};
 use super::dispatch::{DispatchOutcome, RequestDispatch};
 use super::response::{RequestRefusal, answer_response, refusal_response};
 use crate::clock::MilliTime;
@@ -26,6 +26,7 @@
 use crate::request::header::{end_to_end, parse_number};
 use crate::sidecar::connection::backend_pool::header_pairs;
 use crate::sidecar::process::backend_admission::{BackendCall, RunRecord};
+use crate::sidecar::process::body_budget::{BodyError, BodyLease};
 use crate::sidecar::process::decision_log::LineCategory;
 use crate::sidecar::process::sidecar_metrics::EndedRequest;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
@@ -217,7 +218,11 @@
     trace.version = config.version;
     let identified = identify(shared, &config, &request, trace)?;
     let (parts, body) = request.into_parts();
-    let body = read_body(body, config.limits.body_bytes).await?;
+    let remaining = identified.deadline.until(shared.clock.now());
+    let received = timeout(remaining, read_body(shared, body, config.limits.body_bytes)).await;
+    let (body, _lease) = received.unwrap_or_else(|_| {
+        Err(RequestRefusal::new(ResultCode::DeadlineExpired, "the body did not arrive in time"))
+    })?;
     if let Some(organisation) = &identified.organisation {
         check_quota(shared, organisation, &identified).await?;
     }
@@ -343,13 +348,26 @@
     owner.cloned().ok_or_else(|| RequestRefusal::new(ResultCode::KeyUnknown, ""))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RequestRefusal> {
-    let body = Limited::new(body, limit).collect().await;
-    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
-        true => RequestRefusal::new(ResultCode::BodyTooLarge, ""),
-        false => RequestRefusal::new(ResultCode::RequestMalformed, error.to_string()),
-    })?;
-    Ok(body.to_bytes())
+/// Receives the body of a request. One that is within the limit of the configuration may still be
+/// too large for the memory that is left now.
+async fn read_body(
+    shared: &SidecarShared,
+    body: Incoming,
+    bytes_max: usize,
+) -> Result<(Bytes, BodyLease), RequestRefusal> {
+    let received = shared.bodies.receive(body, bytes_max, &shared.request_size, || {}).await;
+    received.map_err(|error| match error {
+        BodyError::TooLarge { limit } if limit >= bytes_max => {
+            RequestRefusal::new(ResultCode::BodyTooLarge, "")
+        }
+        BodyError::TooLarge { .. } => {
+            let refusal = RequestRefusal::new(ResultCode::Overloaded, error.to_string());
+            refusal.retry_after(STALE_RETRY_AFTER)
+        }
+        BodyError::Broken { .. } => {
+            RequestRefusal::new(ResultCode::RequestMalformed, error.to_string())
+        }
+    })
 }
 
 async fn check_quota(
@@ -492,6 +510,9 @@
         Ok(DispatchOutcome::NotRun { cause, capacity_in }) => {
             Err(not_run_refusal(shared, identified, cause, capacity_in))
         }
+        Ok(DispatchOutcome::Unknown(UnknownCause::TooLarge)) => {
+            Err(RequestRefusal::new(ResultCode::AnswerTooLarge, ""))
+        }
         Ok(DispatchOutcome::Unknown(cause)) => {
             Err(RequestRefusal::new(ResultCode::AnswerMissing, format!("{cause:?}")))
         }
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,6 +1,7 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
 mod fleet;
+mod floods;
 mod keys;
 mod links;
 mod outcomes;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -180,6 +180,12 @@
         TestBackend { address, arrivals, cancelled, behaviour }
     }
 
+    /// A server that the test runs itself.
+    fn at(address: SocketAddr) -> Self {
+        let behaviour = Arc::new(Mutex::new(BackendBehaviour::Sheds));
+        TestBackend { address, arrivals: Arc::default(), cancelled: Arc::default(), behaviour }
+    }
+
     pub(super) fn set_behaviour(&self, behaviour: BackendBehaviour) {
         *self.behaviour.lock().unwrap() = behaviour;
     }
@@ -265,7 +271,7 @@
 
 /// A loopback address unique to this process, so that no test running in parallel binds the port
 /// between this call and the daemon's start.
-fn own_loopback() -> Ipv4Addr {
+pub(super) fn own_loopback() -> Ipv4Addr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, 64 | (high & 63), middle ^ 1, low.max(1))
 }
@@ -318,6 +324,19 @@
         daemon
     }
 
+    /// Starts a daemon beside a server of the test's own.
+    pub(super) async fn start_beside(
+        &self,
+        name: &str,
+        service: &str,
+        server: SocketAddr,
+    ) -> TestDaemon {
+        let backend = TestBackend::at(server);
+        let daemon = self.start_with(name, service, backend, free_address()).await;
+        self.announce(&daemon, 1, false).await;
+        daemon
+    }
+
     pub(super) async fn start_with(
         &self,
         name: &str,
@@ -337,6 +356,7 @@
             metrics_listen: free_address(),
             store_address: free_address(),
             withdrawal_bound: Duration::from_secs(5),
+            body_bytes: 40 << 20,
             config_bound: Duration::from_secs(2),
             retry_terms: RetryTerms {
                 per_request: 0.2,
