Log and count what a backend server states in its answers

- platform/notice.rs decodes the limit and the leaving mark of each answer's head;
- 'backend-notice' is logged when they change, 'backend-limited' every 4 s while a limit stands, with the requests sent to the server in that span;
- lentilway_backend_sends_total, lentilway_backend_limited, lentilway_backend_limit_per_second.

Tests notice_limit and notice_leaving (missing, zero, huge, malformed, repeated values).

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -48,6 +48,15 @@
     pub(crate) id: Arc<str>,
 }
 
+/// Observes an exchange with the backend server.
+pub(crate) trait ExchangeObserver: Sync {
+    /// A request is written to a connection.
+    fn observe_send(&self);
+
+    /// The head of an answer to the request arrived.
+    fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap);
+}
+
 /// Closes a connection when dropped, by aborting its task.
 #[derive(Debug)]
 struct ConnectionTask(JoinHandle<()>);
@@ -97,6 +106,7 @@
         request: &ForwardRequest,
         remaining: Duration,
         runs_once: bool,
+        observer: &dyn ExchangeObserver,
     ) -> CallOutcome {
         let Some(mut outgoing) = self.build_request(target, context, request, remaining) else {
             return CallOutcome::NotRun {
@@ -119,8 +129,12 @@
             };
             let mut connection = connection;
             connection.meter.allow(HEAD_BYTES_MAX);
+            observer.observe_send();
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
+                    if self.is_answer_to(context, answer.headers()) {
+                        observer.observe_head(target, answer.headers());
+                    }
                     return self.finish_exchange(connection, answer, context).await;
                 }
                 Err(mut error) => match error.take_message() {
@@ -166,8 +180,7 @@
         meter: &ReadMeter,
     ) -> Result<CallOutcome, UnknownCause> {
         let (parts, body) = answer.into_parts();
-        let id = parts.headers.get(&self.headers.request_id);
-        if id.is_some_and(|id| id.as_bytes() != context.request_id.as_bytes()) {
+        if !self.is_answer_to(context, &parts.headers) {
             return Err(UnknownCause::Spoiled);
         }
         meter.allow(FRAMING_BYTES_MAX);
@@ -198,6 +211,12 @@
         Ok(CallOutcome::Answered(BackendAnswer { status, headers, body }))
     }
 
+    /// Whether the answer is not known to be that of another request.
+    fn is_answer_to(&self, context: &CallContext, headers: &HeaderMap) -> bool {
+        let id = headers.get(&self.headers.request_id);
+        id.is_none_or(|id| id.as_bytes() == context.request_id.as_bytes())
+    }
+
     fn build_request(
         &self,
         target: &BackendTarget,
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -18,7 +18,7 @@
 use crate::policy::retry_allowance::{RetryAllowance, RetryClaim, RetryTerms};
 use crate::policy::root_admission::{CostList, SlotCost, add_cost};
 use crate::policy::run_registry::{RunKey, RunRegistry};
-use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget};
+use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
 use crate::sidecar::request::context::{
     CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
 };
@@ -254,7 +254,11 @@
     }
 
     /// Runs a request; the costs include those of the calls that it made.
-    pub(crate) async fn run(&self, call: &BackendCall) -> (CallOutcome, CostList) {
+    pub(crate) async fn run(
+        &self,
+        call: &BackendCall,
+        observer: &dyn ExchangeObserver,
+    ) -> (CallOutcome, CostList) {
         // The call may be for a removed instance whose address is reused.
         if call.context.service != self.service {
             return (refusal_outcome(AdmissionRefusal::NoBackend), CostList::new());
@@ -274,8 +278,14 @@
             return (refusal_outcome(AdmissionRefusal::NoBackend), CostList::new());
         };
         let remaining = call.deadline.until(self.clock.now());
-        let exchange =
-            self.pool.exchange(&target, &call.context, &call.request, remaining, call.runs_once);
+        let exchange = self.pool.exchange(
+            &target,
+            &call.context,
+            &call.request,
+            remaining,
+            call.runs_once,
+            observer,
+        );
         let outcome = timeout(remaining + ANSWER_MARGIN, exchange).await;
         let outcome = outcome.unwrap_or(CallOutcome::Unknown(UnknownCause::Expired));
         run.end = Some(run.end_of(&outcome));
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -13,6 +13,7 @@
 
 use super::decision_log::LineCategory;
 use super::directory::write_own_entry;
+use super::notice_watch::log_limited;
 use super::sidecar_shared::SidecarShared;
 use super::wire_dialect::{BackendAnnouncement, BackendHeartbeat};
 use crate::clock::MilliTime;
@@ -266,6 +267,7 @@
         shared.backend_admission.refuse_late();
         shared.observe_own_load();
         shared.backend_admission.notify_load();
+        log_limited(&shared);
         let now = shared.clock.now();
         let is_silent = {
             let mut state = shared.backend_watch.lock();
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod directory;
 pub mod keyed_store;
 pub(crate) mod link_plan;
+pub(crate) mod notice_watch;
 pub(crate) mod peer_table;
 pub(crate) mod quota_table;
 pub mod settings;
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a sidecar daemon.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -10,6 +11,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::policy::backend_notice::RequestLimit;
+
 const FIRST_BUCKET_SECONDS: f64 = 0.004;
 const BUCKET_FACTOR: f64 = 2.0;
 const BUCKET_COUNT: u16 = 12;
@@ -49,6 +52,10 @@
     pub running: Gauge,
     /// Requests waiting for the backend server.
     pub waiting: Gauge,
+    /// Requests sent to the backend server.
+    pub backend_sends: Counter,
+    is_limited: Gauge,
+    limit_per_second: Gauge<f64, AtomicU64>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -81,7 +88,36 @@
             "Requests waiting for the backend server",
             waiting.clone(),
         );
-        SidecarMetrics { registry, requests, organisations, latency, events, running, waiting }
+        let backend_sends = Counter::default();
+        let is_limited = Gauge::default();
+        let limit_per_second = Gauge::<f64, AtomicU64>::default();
+        registry.register(
+            "backend_sends",
+            "Requests sent to the backend server",
+            backend_sends.clone(),
+        );
+        registry.register(
+            "backend_limited",
+            "Whether the backend server states a limit",
+            is_limited.clone(),
+        );
+        registry.register(
+            "backend_limit_per_second",
+            "Requests per second that the backend server takes, while it states a limit",
+            limit_per_second.clone(),
+        );
+        SidecarMetrics {
+            registry,
+            requests,
+            organisations,
+            latency,
+            events,
+            running,
+            waiting,
+            backend_sends,
+            is_limited,
+            limit_per_second,
+        }
     }
 }
 
@@ -129,6 +165,20 @@
         self.events.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// Sets the limit that the backend server states.
+    ///
+    /// ```
+    /// use lentilway::policy::backend_notice::RequestLimit;
+    /// use lentilway::sidecar::process::sidecar_metrics::SidecarMetrics;
+    /// let metrics = SidecarMetrics::default();
+    /// metrics.set_limit(RequestLimit::new(17.5));
+    /// assert!(metrics.text().contains("lentilway_backend_limit_per_second 17.5"));
+    /// ```
+    pub fn set_limit(&self, limit: Option<RequestLimit>) {
+        self.is_limited.set(i64::from(limit.is_some()));
+        self.limit_per_second.set(limit.map_or(0.0, RequestLimit::per_second));
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use hyper::HeaderMap;
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -14,6 +15,7 @@
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{DirectoryEntry, DirectoryView, apply_directory};
 use super::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
+use super::notice_watch::{NoticeWatch, observe_notice};
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
 use super::settings::SidecarSettings;
@@ -28,7 +30,7 @@
 use crate::policy::route_success::RouteSuccess;
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
-use crate::sidecar::connection::backend_pool::BackendPool;
+use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
 use crate::sidecar::connection::frame::{PeerMessage, TopicReport};
 use crate::sidecar::request::context::CallOutcome;
 use crate::sidecar::version::config_watch::apply_config_records;
@@ -54,6 +56,7 @@
     pub(crate) metrics: SidecarMetrics,
     pub(crate) backend_admission: BackendAdmission,
     pub(crate) backend_watch: BackendWatch,
+    pub(crate) notice_watch: NoticeWatch,
     pub(crate) peers: PeerTable,
     pub(crate) quota: QuotaTable,
     pub(crate) root_admission: Mutex<RootAdmission>,
@@ -119,6 +122,7 @@
                 settings.retry_terms,
             ),
             backend_watch: BackendWatch::default(),
+            notice_watch: NoticeWatch::default(),
             peers: PeerTable::new(clock.clone(), &settings),
             quota: QuotaTable::new(clock.clone(), &settings.name, settings.rate_window),
             root_admission: Mutex::new(RootAdmission::new(now, settings.retry_terms.per_request)),
@@ -294,7 +298,7 @@
 
     /// Runs a request at this daemon's backend server and logs a failure or refusal.
     pub(crate) async fn run_on_backend(&self, call: &BackendCall) -> (CallOutcome, CostList) {
-        let (outcome, costs) = self.backend_admission.run(call).await;
+        let (outcome, costs) = self.backend_admission.run(call, self).await;
         if !matches!(outcome, CallOutcome::Answered(_)) {
             self.log_backend_failure(call, &outcome);
         }
@@ -367,3 +371,14 @@
         }
     }
 }
+
+impl ExchangeObserver for SidecarShared {
+    fn observe_send(&self) {
+        self.metrics.backend_sends.inc();
+        self.notice_watch.count_send();
+    }
+
+    fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap) {
+        observe_notice(self, target, &self.dialect.notice(headers));
+    }
+}
--- a/src/sidecar/process/wire_dialect.rs
+++ b/src/sidecar/process/wire_dialect.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::Method;
 use hyper::header::HeaderName;
+use hyper::{HeaderMap, Method};
 use snafu::Snafu;
 
+use crate::policy::backend_notice::BackendNotice;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::sidecar::version::fleet_config::FleetConfig;
 
@@ -94,6 +95,9 @@
         body: &[u8],
     ) -> Option<Result<BackendAnnouncement, DecodeError>>;
 
+    /// Decodes what the head of a backend server's answer states about that server.
+    fn notice(&self, headers: &HeaderMap) -> BackendNotice;
+
     /// The key of the configuration's record in its topic.
     fn config_key(&self) -> &str;
 
--- a/tests/suite/platform/boundary.rs
+++ b/tests/suite/platform/boundary.rs
@@ -8,8 +8,10 @@
 const ROOT: &str = env!("CARGO_MANIFEST_DIR");
 
 /// Names of headers, API calls and fields on the platform's wire.
-const WIRE_NAMES: [&str; 22] = [
+const WIRE_NAMES: [&str; 24] = [
     "x-lentilway-",
+    "server-limit",
+    "server-leaving",
     "log-append",
     "log-read",
     "log-newest",
--- a/tests/suite/platform/records.rs
+++ b/tests/suite/platform/records.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use hyper::Method;
+use hyper::{HeaderMap, Method};
 use lentilway::platform::{PlatformDialect, parse_settings};
+use lentilway::policy::backend_notice::{BackendNotice, RequestLimit, StatedLimit};
 use lentilway::policy::retry_allowance::RetryTerms;
 use lentilway::policy::token_share::RateWindow;
 use lentilway::sidecar::process::wire_dialect::{BackendAnnouncement, WireDialect};
@@ -174,3 +175,35 @@
         expect_that!(fault, err(contains_substring(field)));
     }
 }
+
+fn notice(headers: &[(&'static str, &str)]) -> BackendNotice {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.append(*name, value.parse().expect("the value is valid in a header"));
+    }
+    PlatformDialect::default().notice(&map)
+}
+
+#[gtest]
+fn notice_limit() {
+    let limit = |text| notice(&[("server-limit", text)]).limit;
+    let rate = |per_second| RequestLimit::new(per_second).map(StatedLimit::Rate);
+    expect_that!(notice(&[]).limit, eq(StatedLimit::Absent));
+    for (text, per_second) in [("17.3", 17.3), ("0", 0.0), (" 4 ", 4.0), ("90000000000", 9e10)] {
+        expect_that!(Some(limit(text)), eq(rate(per_second)), "{text}");
+    }
+    for text in ["", "-1", "nan", "inf", "many", "1,2", "0x10", "1e400"] {
+        expect_that!(limit(text), eq(StatedLimit::Unreadable), "{text}");
+    }
+    let twice = notice(&[("server-limit", "1"), ("server-limit", "2")]);
+    expect_that!(twice.limit, eq(StatedLimit::Unreadable));
+}
+
+#[gtest]
+fn notice_leaving() {
+    expect_that!(notice(&[]).is_leaving, eq(false));
+    expect_that!(notice(&[("server-leaving", "1")]).is_leaving, eq(true));
+    expect_that!(notice(&[("server-leaving", "0")]).is_leaving, eq(false));
+    let both = notice(&[("server-leaving", "1"), ("server-limit", "none")]);
+    expect_that!(both.is_leaving, eq(true));
+}
