--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -152,6 +152,14 @@
     /// Runs whose connection was closed before the answer.
     pub(super) cancelled: Arc<AtomicUsize>,
     behaviour: Arc<Mutex<BackendBehaviour>>,
+    state: Arc<BackendState>,
+}
+
+/// What a backend server states in its answers, and when requests reached it.
+#[derive(Default)]
+struct BackendState {
+    statements: Mutex<Vec<(&'static str, String)>>,
+    arrived: Mutex<Vec<Instant>>,
 }
 
 impl TestBackend {
@@ -163,33 +171,59 @@
         let (arrival_count, current) = (arrivals.clone(), behaviour.clone());
         let cancelled = Arc::new(AtomicUsize::new(0));
         let cancellations = cancelled.clone();
+        let state = Arc::new(BackendState::default());
+        let shared = state.clone();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 let (arrival_count, current, cancellations) =
                     (arrival_count.clone(), current.clone(), cancellations.clone());
+                let shared = shared.clone();
                 let service = service_fn(move |request| {
                     arrival_count.fetch_add(1, Ordering::SeqCst);
+                    shared.arrived.lock().unwrap().push(Instant::now());
                     let run = TestRun { cancellations: cancellations.clone(), is_ended: false };
-                    answer(request, *current.lock().unwrap(), run)
+                    answer(request, *current.lock().unwrap(), run, shared.clone())
                 });
                 let server = hyper::server::conn::http1::Builder::new();
                 tokio::spawn(server.serve_connection(TokioIo::new(stream), service));
             }
         });
-        TestBackend { address, arrivals, cancelled, behaviour }
+        TestBackend { address, arrivals, cancelled, behaviour, state }
     }
 
     /// A server that the test runs itself.
     fn at(address: SocketAddr) -> Self {
         let behaviour = Arc::new(Mutex::new(BackendBehaviour::Sheds));
-        TestBackend { address, arrivals: Arc::default(), cancelled: Arc::default(), behaviour }
+        TestBackend {
+            address,
+            arrivals: Arc::default(),
+            cancelled: Arc::default(),
+            behaviour,
+            state: Arc::default(),
+        }
     }
 
     pub(super) fn set_behaviour(&self, behaviour: BackendBehaviour) {
         *self.behaviour.lock().unwrap() = behaviour;
     }
 
+    /// Sets headers of its answers from now on.
+    pub(super) fn state_in_answers(&self, statements: &[(&'static str, &str)]) {
+        let statements = statements.iter().map(|(name, value)| (*name, (*value).to_owned()));
+        *self.state.statements.lock().unwrap() = statements.collect();
+    }
+
+    /// The most requests that reached it within `span`, counted from `since`.
+    pub(super) fn most_arrivals_within(&self, span: Duration, since: Instant) -> usize {
+        let arrived = self.state.arrived.lock().unwrap();
+        let counted: Vec<&Instant> = arrived.iter().filter(|at| **at >= since).collect();
+        let within = |start: usize| {
+            counted[start..].iter().take_while(|at| ***at < *counted[start] + span).count()
+        };
+        (0..counted.len()).map(within).max().unwrap_or(0)
+    }
+
     pub(super) fn arrivals(&self) -> usize {
         self.arrivals.load(Ordering::SeqCst)
     }
@@ -213,6 +247,7 @@
     request: Request<Incoming>,
     behaviour: BackendBehaviour,
     mut run: TestRun,
+    state: Arc<BackendState>,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
     let id = request.headers().get("x-lentilway-attempt-id").cloned().unwrap();
     let leaks_key = request.headers().contains_key("authorization");
@@ -240,6 +275,9 @@
             *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
         }
     }
+    for (name, value) in state.statements.lock().unwrap().iter() {
+        response.headers_mut().insert(*name, value.parse().unwrap());
+    }
     run.is_ended = true;
     Ok(response)
 }
@@ -388,8 +426,28 @@
         assert_eq!(answer.status(), 200);
     }
 
+    /// Kills a daemon and starts it again beside the same backend server.
+    pub(super) async fn restart(&self, stopped: TestDaemon) -> TestDaemon {
+        let TestDaemon { daemon, settings, backend } = stopped;
+        daemon.abort().await;
+        let (name, service) = (settings.name, settings.service);
+        let restarted = self.start_with(&name, &service, backend, settings.peer_listen).await;
+        self.announce(&restarted, 2, false).await;
+        restarted
+    }
+
     /// Sends a request with a new id through a daemon.
     pub(super) async fn send(&self, daemon: &TestDaemon, path: &str, key: &str) -> CallerAnswer {
+        self.request(daemon, path, key).await
+    }
+
+    /// The exchange of a request with a new id through a daemon.
+    pub(super) fn request(
+        &self,
+        daemon: &TestDaemon,
+        path: &str,
+        key: &str,
+    ) -> impl Future<Output = CallerAnswer> + Send + use<> {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
         let uri = format!("http://{}{path}", daemon.settings.request_listen);
         let request = Request::get(uri)
@@ -399,10 +457,12 @@
             .header("x-lentilway-tenant-id", "forged")
             .header("authorization", format!("Bearer {key}"))
             .body(Full::default());
-        let answer = self.client.request(request.unwrap()).await.unwrap();
-        let (parts, body) = answer.into_parts();
-        let body = body.collect().await.unwrap().to_bytes();
-        CallerAnswer { status: parts.status.as_u16(), headers: parts.headers, body }
+        let exchange = self.client.request(request.unwrap());
+        async move {
+            let (parts, body) = exchange.await.unwrap().into_parts();
+            let body = body.collect().await.unwrap().to_bytes();
+            CallerAnswer { status: parts.status.as_u16(), headers: parts.headers, body }
+        }
     }
 
     /// Sends requests until one is answered with `status`.
