Take a leave that a backend server tells in its answers as announced

A server that leaves says so in all its answers; the mark was passed on to callers and not read (the same class as the ignored limit: a statement of the server that no decision takes as input). A server whose heartbeats still said 'ready', or whose daemon restarted while the store was down, went on getting requests from machines that had told a caller of its leave (DRAIN).

Shown by tests that failed before: run_after_leaving_answer (3 requests reached the server after the answer, 0 allowed), run_after_leaving_answer_queued (13 instead of 7), run_after_leaving_answer_restart (5 instead of 0).

Why this works: the daemon beside the server is its only door; it closes admission when it reads the mark, before the answer goes to the caller. The leave is final for the incarnation, senders repeat it to a restarted daemon, and it is recorded in the directory like an announced one.

--- a/src/policy/backend_notice.rs
+++ b/src/policy/backend_notice.rs
@@ -62,16 +62,19 @@
     pub incarnation: BackendIncarnation,
     /// The requests that it takes; `None` without a limit.
     pub limit: Option<RequestLimit>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
 }
 
 /// What the daemon beside a backend server knows of its notices.
 ///
-/// After a restart of the daemon, the senders that heard a notice repeat it with their calls. It
-/// holds until the backend server answers again itself.
+/// After a restart of the daemon, the senders that heard a notice repeat it with their calls. A
+/// limit so repeated holds until the backend server answers again itself, a leave for good.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeTracker {
     current: Option<BackendIncarnation>,
     limit: Option<RequestLimit>,
+    is_leaving: bool,
     /// Whether the current incarnation has answered this daemon.
     has_answered: bool,
     /// The last notice that another daemon repeated.
@@ -86,6 +89,7 @@
         }
         self.current = Some(incarnation.clone());
         self.limit = None;
+        self.is_leaving = false;
         self.has_answered = false;
         if let Some(repeated) = self.repeated.take() {
             self.repeat(repeated);
@@ -113,6 +117,7 @@
         if self.current.as_ref() != Some(from) {
             return;
         }
+        self.is_leaving |= notice.is_leaving;
         match notice.limit {
             StatedLimit::Absent => self.limit = None,
             StatedLimit::Rate(limit) => self.limit = Some(limit),
@@ -126,11 +131,19 @@
         if self.current.as_ref() != Some(&repeated.incarnation) {
             // The incarnation may not have announced itself yet.
             self.repeated = Some(repeated);
-        } else if !self.has_answered {
+            return;
+        }
+        self.is_leaving |= repeated.is_leaving;
+        if !self.has_answered {
             self.limit = repeated.limit;
         }
     }
 
+    /// Whether the current incarnation is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// The limit of the current incarnation.
     pub fn limit(&self) -> Option<RequestLimit> {
         self.limit
@@ -139,7 +152,8 @@
     /// What senders have to repeat to the next process beside this backend server.
     pub fn known(&self) -> Option<KnownNotice> {
         let incarnation = self.current.clone()?;
-        self.limit.map(|limit| KnownNotice { incarnation, limit: Some(limit) })
+        let (limit, is_leaving) = (self.limit, self.is_leaving);
+        (limit.is_some() || is_leaving).then_some(KnownNotice { incarnation, limit, is_leaving })
     }
 }
 
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::decision_log::LineCategory;
@@ -44,6 +44,8 @@
 pub(crate) struct BackendWatch {
     state: Mutex<WatchState>,
     directory_read: watch::Sender<bool>,
+    /// Notified when an answer told of a leave.
+    leave_noted: Notify,
 }
 
 #[derive(Serialize)]
@@ -117,6 +119,36 @@
     }
 }
 
+/// Suspends admission to an incarnation that said in an answer that it leaves, and has the leave
+/// recorded for a restart.
+pub(crate) fn note_leave(shared: &SidecarShared, left: &BackendIncarnation) {
+    let is_current = {
+        let mut state = shared.backend_watch.lock();
+        if state.tracker.has_left(left) {
+            return;
+        }
+        let is_current = state.tracker.is_current(left);
+        state.tracker.restore_left(left.clone());
+        state.left = Some(left.clone());
+        state.is_open &= !is_current;
+        is_current
+    };
+    if is_current {
+        shared.backend_admission.suspend();
+        shared.observe_own_load();
+    }
+    log_leave(shared, left);
+    shared.backend_watch.leave_noted.notify_one();
+}
+
+/// Records leaves that were told in answers, until the task is aborted.
+pub(crate) async fn record_leaves(shared: Arc<SidecarShared>) {
+    loop {
+        shared.backend_watch.leave_noted.notified().await;
+        record_leave(&shared).await;
+    }
+}
+
 /// Handles one announcement of the backend server.
 pub(crate) async fn serve_announcement(
     shared: Arc<SidecarShared>,
@@ -241,6 +273,11 @@
     };
     shared.backend_admission.suspend();
     shared.observe_own_load();
+    log_leave(shared, &left);
+    record_leave(shared).await;
+}
+
+fn log_leave(shared: &SidecarShared, left: &BackendIncarnation) {
     let line = BackendLine {
         backend: &left.id,
         born: left.born,
@@ -250,8 +287,11 @@
         verdict: "left",
     };
     shared.log.write(LineCategory::Change, "backend-server", &line);
-    let own = shared.own_entry();
-    match timeout(LEAVE_WRITE_TIMEOUT, write_own_entry(shared, &own)).await {
+}
+
+/// Writes the leave into this daemon's record.
+async fn record_leave(shared: &SidecarShared) {
+    match timeout(LEAVE_WRITE_TIMEOUT, write_own_entry(shared, &shared.own_entry())).await {
         Ok(Ok(())) => {}
         Ok(Err(error)) => shared.store_failed("leave-record", &error),
         Err(_) => shared.metrics.count("leave_record_late"),
--- a/src/sidecar/process/notice_watch.rs
+++ b/src/sidecar/process/notice_watch.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use super::backend_watch::note_leave;
 use super::decision_log::LineCategory;
 use super::sidecar_shared::SidecarShared;
 use crate::clock::MilliTime;
@@ -19,7 +20,6 @@
 #[derive(Debug, Default)]
 struct NoticeState {
     tracker: NoticeTracker,
-    is_leaving: bool,
     is_unreadable: bool,
     /// Requests sent to the backend server since this process started.
     sends: u64,
@@ -94,7 +94,6 @@
 ) {
     update(shared, from, NoticeSource::Answer, |state| {
         state.tracker.observe(from, notice);
-        state.is_leaving = notice.is_leaving;
         state.is_unreadable = notice.limit == StatedLimit::Unreadable;
     });
 }
@@ -102,6 +101,10 @@
 /// Records a notice that another daemon repeats.
 pub(crate) fn learn_notice(shared: &SidecarShared, notice: KnownNotice) {
     let incarnation = notice.incarnation.clone();
+    if notice.is_leaving {
+        // Also if the server has not announced itself to this process yet.
+        note_leave(shared, &incarnation);
+    }
     update(shared, &incarnation, NoticeSource::Call, |state| state.tracker.repeat(notice));
 }
 
@@ -113,14 +116,18 @@
     change: impl FnOnce(&mut NoticeState),
 ) {
     let mut state = shared.notice_watch.lock();
-    let facts =
-        |state: &NoticeState| (state.tracker.limit(), state.is_leaving, state.is_unreadable);
+    let facts = |state: &NoticeState| {
+        (state.tracker.limit(), state.tracker.is_leaving(), state.is_unreadable)
+    };
     let before = facts(&state);
     change(&mut state);
     let (limit, leaving, unreadable) = facts(&state);
     if (limit, leaving, unreadable) == before {
         return;
     }
+    if leaving {
+        note_leave(shared, from);
+    }
     // Under the lock, so that limits are set in the order in which they became known.
     shared.backend_admission.set_limit(limit);
     shared.metrics.set_limit(limit);
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use super::backend_watch::{serve_announcement, watch_backend};
+use super::backend_watch::{record_leaves, serve_announcement, watch_backend};
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{maintain_links, register_daemon, remove_own_entry};
 use super::keyed_store::{KeyedStore, StoreTopic};
@@ -95,6 +95,7 @@
             tokio::spawn(maintain_links(shared.clone())),
             tokio::spawn(watch_backend(shared.clone())),
             tokio::spawn(pace_backend(shared.clone())),
+            tokio::spawn(record_leaves(shared.clone())),
             tokio::spawn(exchange_tokens(shared.clone())),
         ];
         log_process(&shared, "started");
--- a/tests/suite/policy/backend_notice.rs
+++ b/tests/suite/policy/backend_notice.rs
@@ -20,7 +20,7 @@
 }
 
 fn known(incarnation: BackendIncarnation, limit: f64) -> KnownNotice {
-    KnownNotice { incarnation, limit: Some(rate(limit)) }
+    KnownNotice { incarnation, limit: Some(rate(limit)), is_leaving: false }
 }
 
 fn tracker() -> NoticeTracker {
@@ -75,6 +75,24 @@
     expect_that!(other.limit(), none());
 }
 
+/// A leave is final for its incarnation, whoever says so and whatever later answers lack.
+#[gtest]
+fn observe_leaving_final() {
+    let leaving = BackendNotice { is_leaving: true, ..BackendNotice::default() };
+    let mut tracker = tracker();
+    tracker.observe(&server("a", 1), &leaving);
+    tracker.observe(&server("a", 1), &BackendNotice::default());
+    expect_that!(tracker.is_leaving(), eq(true));
+    let heard = tracker.known();
+    tracker.set_current(&server("a", 2));
+    expect_that!(tracker.is_leaving(), eq(false));
+    expect_that!(tracker.known(), none());
+    let mut restarted = self::tracker();
+    restarted.observe(&server("a", 1), &BackendNotice::default());
+    heard.into_iter().for_each(|notice| restarted.repeat(notice));
+    expect_that!(restarted.is_leaving(), eq(true));
+}
+
 #[gtest]
 fn record_answers_replace() {
     let mut memory = NoticeMemory::default();
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod floods;
 mod keys;
+mod leaves;
 mod limits;
 mod links;
 mod outcomes;
