Soak: upstreams that state a limit or tell of their leave in answers

The stand-in of an upstream states a limit of requests per second and tells of its leave in answers while its heartbeats still say 'ready'.

--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use lentilway_stand_ins::platform::upstream::UpstreamStatement;
 use lentilway_stand_ins::platform::{DEADLINE_MILLIS, HOST, REQUEST_ID, SIGNATURE};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -124,7 +125,12 @@
     let (end, is_reusable) = match received {
         Err(_) => (CallerOutcome::Left, false),
         Ok(None) => (CallerOutcome::Cut, false),
-        Ok(Some((end, is_reusable))) => (end, is_reusable),
+        Ok(Some((end, statement, is_reusable))) => {
+            if let Some(statement) = statement {
+                group.history.record_told(group.daemon, &statement);
+            }
+            (end, is_reusable)
+        }
     };
     group.history.record_outcome(&id, end);
     is_reusable.then_some(connection)
@@ -133,7 +139,7 @@
 async fn receive(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-) -> Option<(CallerOutcome, bool)> {
+) -> Option<(CallerOutcome, Option<UpstreamStatement>, bool)> {
     let answer = connection.send_request(request).await.ok()?;
     let (parts, body) = answer.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
@@ -143,5 +149,5 @@
         body: String::from_utf8_lossy(&body).into_owned(),
         is_signed: parts.headers.contains_key(SIGNATURE),
     };
-    Some((end, !closes))
+    Some((end, UpstreamStatement::decode(&parts.headers), !closes))
 }
--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -23,6 +23,10 @@
     CrashUpstream(usize),
     /// The upstream drains and is replaced.
     DrainUpstream(usize),
+    /// The upstream states for a while how many requests per second it takes.
+    LimitUpstream(usize),
+    /// The upstream tells of its leave in answers only, and is replaced.
+    TellLeave(usize),
     /// A link of the node fails.
     Link(usize, NodeLink, LinkFault),
     /// The store refuses requests, does not answer, is slow or loses answers.
@@ -70,8 +74,19 @@
 impl SoakFault {
     /// Whether this is a planned operation, during which no request may be lost.
     pub(crate) fn is_planned_operation(self) -> bool {
-        use SoakFault::{AddRoute, DrainUpstream, Reload, Stop, WithdrawKey};
-        matches!(self, Stop(_) | Reload(_) | DrainUpstream(_) | WithdrawKey | AddRoute)
+        use SoakFault::{
+            AddRoute, DrainUpstream, LimitUpstream, Reload, Stop, TellLeave, WithdrawKey,
+        };
+        matches!(
+            self,
+            Stop(_)
+                | Reload(_)
+                | DrainUpstream(_)
+                | LimitUpstream(_)
+                | TellLeave(_)
+                | WithdrawKey
+                | AddRoute
+        )
     }
 }
 
@@ -101,7 +116,7 @@
 
 fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
     let node = random.random_range(0..nodes);
-    match random.random_range(0..14) {
+    match random.random_range(0..17) {
         0 | 1 => SoakFault::Suspend(node),
         2 => SoakFault::Kill(node),
         3 | 4 => SoakFault::Stop(node),
@@ -120,6 +135,8 @@
             SoakFault::Store(faults[random.random_range(0..faults.len())])
         }
         12 => SoakFault::WithdrawKey,
+        13 | 14 => SoakFault::LimitUpstream(node),
+        15 => SoakFault::TellLeave(node),
         _ => SoakFault::AddRoute,
     }
 }
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use lentilway_stand_ins::platform::upstream::{UpstreamObserver, UpstreamRun};
+use lentilway_stand_ins::platform::upstream::{UpstreamObserver, UpstreamRun, UpstreamStatement};
 
 // Bounds from the settings that the soak writes and from the platform's rules.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -15,6 +15,13 @@
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 50.0;
+/// A limit binds from this time after it was first stated.
+pub(crate) const LIMIT_STABLE_TIME: Duration = Duration::from_secs(3);
+pub(crate) const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_TOLERANCE: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+/// A daemon counts from this time after it passed on the limit.
+const LIMIT_TOLD_TIME: Duration = Duration::from_millis(500);
 /// An unplanned fault excuses connections that end within this time before or after it.
 const FAULT_MARGIN: Duration = Duration::from_secs(3);
 /// Statuses which guarantee that a request has not run and never will.
@@ -71,6 +78,18 @@
     faults: Vec<(Instant, Instant)>,
     /// Index of each daemon that was signalled to stop, and when.
     stops: Vec<(usize, Instant)>,
+    /// Restarts and suspensions of daemons, which excuse what they were told before.
+    interruptions: Vec<(usize, Instant)>,
+    /// The limits stated by each instance, in order, `None` for the end of one.
+    limits: HashMap<String, Vec<(Instant, Option<f64>)>>,
+    /// When each daemon passed on an answer with a limit, and one that told of a leave, by instance.
+    told: HashMap<(usize, String), ToldTimes>,
+}
+
+#[derive(Debug, Default)]
+struct ToldTimes {
+    limit: Vec<Instant>,
+    leave: Vec<Instant>,
 }
 
 /// Every request, run and fault of a soak.
@@ -87,6 +106,16 @@
     fn leave_acknowledged(&self, instance: &str) {
         self.lock().leaves.entry(instance.to_owned()).or_insert_with(Instant::now);
     }
+
+    fn limit_changed(&self, instance: &str, limit: Option<f64>) {
+        self.record_limit(instance, limit, Instant::now());
+    }
+
+    fn statement_received(&self, receiver: &str, statement: &UpstreamStatement) {
+        if let Some(daemon) = daemon_of(receiver) {
+            self.record_told(daemon, statement);
+        }
+    }
 }
 
 impl SoakHistory {
@@ -123,6 +152,32 @@
         self.lock().stops.push((daemon, Instant::now()));
     }
 
+    /// Records that a daemon restarts or was suspended.
+    pub fn record_interruption(&self, daemon: usize) {
+        self.lock().interruptions.push((daemon, Instant::now()));
+    }
+
+    /// Records the limit that an upstream states from `at` on.
+    pub fn record_limit(&self, instance: &str, limit: Option<f64>, at: Instant) {
+        self.lock().limits.entry(instance.to_owned()).or_default().push((at, limit));
+    }
+
+    /// Records what a daemon told by passing on an answer.
+    pub fn record_told(&self, daemon: usize, statement: &UpstreamStatement) {
+        if statement.limit.is_none() && !statement.is_leaving {
+            return;
+        }
+        let mut state = self.lock();
+        let told = state.told.entry((daemon, statement.instance.clone())).or_default();
+        let now = Instant::now();
+        if statement.limit.is_some() {
+            told.limit.push(now);
+        }
+        if statement.is_leaving {
+            told.leave.push(now);
+        }
+    }
+
     /// Ended requests that were sent since `from`, and how many of them were served.
     pub fn served_since(&self, from: Instant) -> (usize, usize) {
         let state = self.lock();
@@ -147,6 +202,8 @@
         state.check_rates(rates, &mut violations);
         state.check_retries(&mut violations);
         state.check_versions(&mut violations);
+        state.check_limits(&mut violations);
+        state.check_told_leaves(&mut violations);
         violations
     }
 
@@ -257,6 +314,77 @@
         }
     }
 
+    /// No upstream gets more than the limit that it states, from the daemons that passed it on.
+    fn check_limits(&self, violations: &mut Vec<String>) {
+        for (instance, changes) in &self.limits {
+            for (index, (from, limit)) in changes.iter().enumerate() {
+                let Some(limit) = limit else { continue };
+                let until = changes.get(index + 1).map(|(until, _)| *until);
+                let binding = *from + LIMIT_STABLE_TIME;
+                let runs =
+                    self.runs.iter().flat_map(|(id, runs)| runs.iter().map(move |run| (id, run)));
+                let mut counted: Vec<Instant> = runs
+                    .filter(|(_, (at, run))| {
+                        run.instance == *instance
+                            && *at >= binding
+                            && until.is_none_or(|until| *at < until)
+                    })
+                    .filter(|(id, (at, _))| self.was_told(id, instance, *from, *at))
+                    .map(|(_, (at, _))| *at)
+                    .collect();
+                counted.sort_unstable();
+                let bound = limit * LIMIT_TOLERANCE * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+                let max = max_within(&counted, LIMIT_WINDOW);
+                if max as f64 > bound {
+                    violations
+                        .push(format!("{instance}: {max} beyond its limit, bound {bound:.0}"));
+                }
+            }
+        }
+    }
+
+    /// Whether the daemon where a request began had passed on the limit stated since `from`, and
+    /// was not interrupted since.
+    fn was_told(&self, id: &str, instance: &str, from: Instant, at: Instant) -> bool {
+        let Some(daemon) = self.origin(id) else { return false };
+        let Some(told) = self.told.get(&(daemon, instance.to_owned())) else { return false };
+        let interrupted = self.last_interruption(daemon, at).unwrap_or(from).max(from);
+        told.limit.iter().any(|told| *told >= interrupted && *told + LIMIT_TOLD_TIME <= at)
+    }
+
+    /// No request that was sent later than the drain time after a daemon passed on that an upstream
+    /// leaves reaches it from there.
+    fn check_told_leaves(&self, violations: &mut Vec<String>) {
+        for (id, runs) in &self.runs {
+            let Some(daemon) = self.origin(id) else { continue };
+            for (at, run) in runs {
+                let sent = self.sent.get(id).map_or(*at, |sent| sent.at);
+                let Some(told) = self.told.get(&(daemon, run.instance.clone())) else { continue };
+                let interrupted = self.last_interruption(daemon, *at);
+                let binds = |told: &Instant| {
+                    interrupted.is_none_or(|interrupted| *told > interrupted)
+                        && sent > *told + DRAIN_TIMEOUT
+                };
+                if told.leave.iter().any(binds) {
+                    violations.push(format!("reached an upstream that told of its leave: {run:?}"));
+                }
+            }
+        }
+    }
+
+    /// The daemon at which a request or a sub-call began.
+    fn origin(&self, id: &str) -> Option<usize> {
+        match id.rsplit_once('.') {
+            Some((_, caller)) => daemon_of(caller),
+            None => self.sent.get(id).map(|sent| sent.daemon),
+        }
+    }
+
+    fn last_interruption(&self, daemon: usize, at: Instant) -> Option<Instant> {
+        let interruptions = self.interruptions.iter().filter(|(other, _)| *other == daemon);
+        interruptions.map(|(_, interrupted)| *interrupted).filter(|when| *when <= at).max()
+    }
+
     /// A daemon that has served a route must not answer 404 for it later: it never returns to an
     /// older configuration.
     fn check_versions(&self, violations: &mut Vec<String>) {
@@ -276,6 +404,12 @@
     }
 }
 
+/// The index of the daemon beside an upstream, from the id of the instance or of its sub-call:
+/// `i-node-INDEX-START` or `i-node-INDEX-START-NUMBER`.
+fn daemon_of(instance: &str) -> Option<usize> {
+    instance.strip_prefix("i-node-")?.split('-').next()?.parse().ok()
+}
+
 /// The largest number of `times`, which are sorted, within any window of length `span`.
 fn max_within(times: &[Instant], span: Duration) -> usize {
     let mut first = 0;
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -23,7 +23,7 @@
 
 use callers::{CallerGroup, CallerOrganisation, CallerRoute, run_caller};
 use fault::{LinkFault, NodeLink, PlannedFault, SoakFault, StoreFault, draw_plan};
-use history::SoakHistory;
+use history::{LIMIT_STABLE_TIME, LIMIT_WINDOW, SoakHistory};
 use node::SoakNode;
 pub use node::SoakPaths;
 
@@ -48,6 +48,8 @@
 const LINK_DELAY: Duration = Duration::from_millis(300);
 const STORE_DELAY: Duration = Duration::from_millis(200);
 const LOST_ANSWER_FRACTION: f64 = 0.5;
+/// Limits stated by upstreams reach from 0 to about the usual load.
+const LIMIT_PER_SECOND_OF_FAULT: f64 = 8.0;
 
 const UNLIMITED: CallerOrganisation =
     CallerOrganisation { name: "nord", keys: ["nord-1", "nord-2"] };
@@ -248,9 +250,11 @@
         let started = Instant::now();
         match planned.fault {
             SoakFault::Suspend(node) => {
+                self.history.record_interruption(node);
                 self.nodes[node].lock().await.signal(Signal::STOP);
                 sleep(planned.duration).await;
                 self.nodes[node].lock().await.signal(Signal::CONT);
+                self.history.record_interruption(node);
             }
             SoakFault::Kill(node) => self.restart(node, Signal::KILL).await,
             SoakFault::Stop(node) => {
@@ -266,6 +270,14 @@
                 sleep(STOP_TIMEOUT / 2).await;
                 self.replace_upstream(node, Duration::ZERO).await;
             }
+            SoakFault::LimitUpstream(node) => self.limit_upstream(node, planned.duration).await,
+            SoakFault::TellLeave(node) => {
+                if let Some(upstream) = &self.nodes[node].lock().await.upstream {
+                    upstream.tell_leave();
+                }
+                sleep(STOP_TIMEOUT / 2).await;
+                self.replace_upstream(node, Duration::ZERO).await;
+            }
             SoakFault::Link(node, link, fault) => {
                 self.fail_link(node, link, fault, planned.duration).await
             }
@@ -303,6 +315,7 @@
 
     /// Sends `signal` to a daemon, kills it after [`STOP_TIMEOUT`], and starts it again.
     async fn restart(&self, number: usize, signal: Signal) {
+        self.history.record_interruption(number);
         self.nodes[number].lock().await.signal(signal);
         let signalled = Instant::now();
         loop {
@@ -321,6 +334,7 @@
         // A repeat of the fault may have restarted it already.
         if node.has_ended() {
             self.starts[number].fetch_add(1, Ordering::SeqCst);
+            self.history.record_interruption(number);
             node.start_daemon(&self.paths).expect("the program was started before");
         }
     }
@@ -335,6 +349,21 @@
         }
     }
 
+    /// Has the upstream state a limit for `duration` beyond the time from which it binds; a longer
+    /// one states a higher limit.
+    async fn limit_upstream(&self, number: usize, duration: Duration) {
+        let limit = (duration.as_secs_f64() * LIMIT_PER_SECOND_OF_FAULT).round();
+        self.set_limit(number, Some(limit)).await;
+        sleep(LIMIT_STABLE_TIME + LIMIT_WINDOW + duration).await;
+        self.set_limit(number, None).await;
+    }
+
+    async fn set_limit(&self, number: usize, limit: Option<f64>) {
+        if let Some(upstream) = &self.nodes[number].lock().await.upstream {
+            upstream.set_limit(limit);
+        }
+    }
+
     async fn fail_link(&self, number: usize, link: NodeLink, fault: LinkFault, duration: Duration) {
         let mode = match fault {
             LinkFault::Delay => LinkMode::Delay(LINK_DELAY),
--- a/stand-ins/src/platform/mod.rs
+++ b/stand-ins/src/platform/mod.rs
@@ -18,6 +18,10 @@
 pub const ORGANISATION: &str = "x-lentilway-tenant-id";
 /// Header with the id of the upstream that a request is sent to.
 pub const TARGET: &str = "x-lentilway-target-instance";
+/// Header with the requests per second that an upstream takes from all machines together.
+pub const LIMIT: &str = "server-limit";
+/// Header that is `1` in all answers of an upstream that leaves.
+pub const LEAVING: &str = "server-leaving";
 /// Path of the readiness check.
 pub const READY_PATH: &str = "/api/readyz";
 /// Host name of all routes.
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde_json::json;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use super::{DEADLINE_MILLIS, HOST, ORGANISATION, REQUEST_ID, SIGNATURE, TARGET};
+use super::{DEADLINE_MILLIS, HOST, LEAVING, LIMIT, ORGANISATION, REQUEST_ID, SIGNATURE, TARGET};
 use crate::http::{HttpClient, ReceivedRequest, ServerReply, exchange, http_client, serve};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -51,12 +51,39 @@
     pub has_key: bool,
 }
 
+/// What an upstream states about itself in an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UpstreamStatement {
+    /// The instance id of the upstream.
+    pub instance: String,
+    /// The requests per second that it takes.
+    pub limit: Option<f64>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+}
+
+impl UpstreamStatement {
+    /// Decodes the head of an answer; `None` if no upstream signed it.
+    pub fn decode(headers: &HeaderMap) -> Option<Self> {
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        Some(UpstreamStatement {
+            instance: text(SIGNATURE)?.to_owned(),
+            limit: text(LIMIT).and_then(|limit| limit.parse().ok()),
+            is_leaving: text(LEAVING) == Some("1"),
+        })
+    }
+}
+
 /// Receives the events of upstreams.
 pub trait UpstreamObserver: Send + Sync {
     /// A request starts to run.
     fn started(&self, run: &UpstreamRun);
     /// The daemon acknowledged that an upstream leaves.
     fn leave_acknowledged(&self, instance: &str);
+    /// An upstream states a limit, or no longer does.
+    fn limit_changed(&self, instance: &str, limit: Option<f64>);
+    /// The daemon beside an upstream passed on the answer to one of its sub-calls.
+    fn statement_received(&self, receiver: &str, statement: &UpstreamStatement);
 }
 
 struct UpstreamState {
@@ -65,6 +92,9 @@
     observer: Arc<dyn UpstreamObserver>,
     client: HttpClient,
     is_draining: AtomicBool,
+    /// Whether answers tell of a leave that is not announced.
+    tells_leave: AtomicBool,
+    limit: Mutex<Option<f64>>,
     sequence: AtomicU64,
     calls: AtomicU64,
     started_ms: u64,
@@ -95,6 +125,8 @@
             observer,
             client: http_client(),
             is_draining: AtomicBool::new(false),
+            tells_leave: AtomicBool::new(false),
+            limit: Mutex::new(None),
             sequence: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             started_ms: since_epoch.expect("the clock is past the Unix epoch").as_millis() as u64,
@@ -111,6 +143,17 @@
         self.address
     }
 
+    /// States in its answers how many requests per second it takes; `None` ends the limit.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        *self.state.limit.lock().expect("lock not poisoned") = limit;
+        self.state.observer.limit_changed(&self.state.instance, limit);
+    }
+
+    /// Says in its answers that it leaves, while its heartbeats are late and still say "ready".
+    pub fn tell_leave(&self) {
+        self.state.tells_leave.store(true, Ordering::SeqCst);
+    }
+
     /// Announces that it drains, while it continues to serve requests.
     pub fn drain(&self) {
         self.state.is_draining.store(true, Ordering::SeqCst);
@@ -165,20 +208,27 @@
     sleep(state.plan.service_time).await;
     for path in &state.plan.calls {
         if !send_sub_call(&state, &id, path, request.header(DEADLINE_MILLIS)).await {
-            let mut failed = build_response(StatusCode::INTERNAL_SERVER_ERROR, &id, String::new());
-            failed.headers_mut().insert(
-                SIGNATURE,
-                state.instance.parse().expect("the instance id is a valid header value"),
-            );
-            return ServerReply::Send(failed);
+            let failed = build_response(StatusCode::INTERNAL_SERVER_ERROR, &id, String::new());
+            return ServerReply::Send(sign(&state, failed));
         }
     }
-    let mut answer = build_response(StatusCode::OK, &id, format!("{id}@{}", state.instance));
-    answer.headers_mut().insert(
-        SIGNATURE,
-        state.instance.parse().expect("the instance id is a valid header value"),
-    );
-    ServerReply::Send(answer)
+    let answer = build_response(StatusCode::OK, &id, format!("{id}@{}", state.instance));
+    ServerReply::Send(sign(&state, answer))
+}
+
+/// Adds the signature and what the upstream states about itself.
+fn sign(state: &UpstreamState, mut answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    let headers = answer.headers_mut();
+    let text = |text: &str| text.parse().expect("the text is a valid header value");
+    headers.insert(SIGNATURE, text(&state.instance));
+    if let Some(limit) = *state.limit.lock().expect("lock not poisoned") {
+        headers.insert(LIMIT, text(&limit.to_string()));
+    }
+    let is_leaving = [&state.is_draining, &state.tells_leave];
+    if is_leaving.iter().any(|flag| flag.load(Ordering::SeqCst)) {
+        headers.insert(LEAVING, text("1"));
+    }
+    answer
 }
 
 fn build_response(status: StatusCode, id: &str, body: String) -> Response<Full<Bytes>> {
@@ -204,5 +254,11 @@
         .header(DEADLINE_MILLIS, deadline_millis)
         .body(Full::default());
     let request = request.expect("the address and path form a valid URI");
-    matches!(exchange(&state.client, request).await, Ok((StatusCode::OK, ..)))
+    let Ok((status, headers, _)) = exchange(&state.client, request).await else {
+        return false;
+    };
+    if let Some(statement) = UpstreamStatement::decode(&headers) {
+        state.observer.statement_received(&state.instance, &statement);
+    }
+    status == StatusCode::OK
 }
