--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use lentilway_lab::soak::history::{CallerOutcome, SentRequest, SoakHistory};
 use lentilway_lab::soak::{SoakPaths, SoakSettings, run_soak};
-use lentilway_stand_ins::platform::upstream::{UpstreamObserver, UpstreamRun};
+use lentilway_stand_ins::platform::upstream::{UpstreamObserver, UpstreamRun, UpstreamStatement};
 
 const ID: &str = "request-1";
 
@@ -173,3 +173,42 @@
     expect_that!(report.violations, is_empty());
     expect_that!(report.requests.1, gt(0));
 }
+
+/// The violations if daemon 0 hears `statement` and its upstream then gets 30 requests
+/// that began there, 3.5 s later.
+fn violations_of_statement(statement: UpstreamStatement, is_interrupted: bool) -> Vec<String> {
+    let history = SoakHistory::default();
+    let now = Instant::now();
+    history.record_limit("i-1", statement.limit, now);
+    history.record_told(0, &statement);
+    if is_interrupted {
+        history.record_interruption(0);
+    }
+    for number in 0..30 {
+        // Calls of a run beside daemon 0.
+        let request_id = format!("request-1.i-node-0-1-{number}");
+        let at = now + Duration::from_millis(3_500 + 10 * number);
+        history.record_run(&UpstreamRun { request_id, ..run() }, at);
+    }
+    history.violations(&HashMap::new())
+}
+
+#[gtest]
+fn violations_limit() {
+    let statement =
+        UpstreamStatement { instance: "i-1".into(), limit: Some(2.0), is_leaving: false };
+    let found = violations_of_statement(statement.clone(), false);
+    expect_that!(found, elements_are![contains_substring("beyond its limit")]);
+    expect_that!(violations_of_statement(statement.clone(), true), is_empty());
+    let high = UpstreamStatement { limit: Some(20.0), ..statement };
+    expect_that!(violations_of_statement(high, false), is_empty());
+}
+
+#[gtest]
+fn violations_told_leave() {
+    let statement = UpstreamStatement { instance: "i-1".into(), limit: None, is_leaving: true };
+    let found = violations_of_statement(statement.clone(), false);
+    expect_that!(found, len(eq(30)));
+    expect_that!(found, each(contains_substring("told of its leave")));
+    expect_that!(violations_of_statement(statement, true), is_empty());
+}
