--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -7,7 +7,8 @@
 use snafu::Snafu;
 
 /// A topic that retains the newest record of each key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum StoreTopic {
     /// Whole versions of the configuration, written by operators.
     Configuration,
@@ -15,6 +16,14 @@
     Directory,
 }
 
+/// How often the store came back from a copy of itself. Records that it had acknowledged before may
+/// be missing then, and positions are assigned again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
 /// The newest record of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRecord {
@@ -33,6 +42,8 @@
     pub records: Vec<StoreRecord>,
     /// The read position, to be passed to [`KeyedStore::changes`].
     pub cursor: u64,
+    /// The store's era at the time of the read.
+    pub era: StoreEra,
 }
 
 /// Why a call to the store failed.
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -54,6 +54,8 @@
     pub waiting: Gauge,
     /// Requests sent to the backend server.
     pub backend_sends: Counter,
+    /// The store's era.
+    pub store_era: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
 }
@@ -106,6 +108,12 @@
             "Requests per second that the backend server takes, while it states a limit",
             limit_per_second.clone(),
         );
+        let store_era = Gauge::default();
+        registry.register(
+            "store_era",
+            "How often the store came back from a copy, as it states",
+            store_era.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -115,6 +123,7 @@
             running,
             waiting,
             backend_sends,
+            store_era,
             is_limited,
             limit_per_second,
         }
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -14,7 +14,7 @@
 use super::body_budget::{BodyBudget, UsualSize};
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{DirectoryEntry, DirectoryView, apply_directory};
-use super::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
+use super::keyed_store::{KeyedStore, StoreEra, StoreError, StoreRead, StoreTopic};
 use super::notice_watch::{NoticeWatch, observe_notice};
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
@@ -89,6 +89,24 @@
     reason: String,
 }
 
+#[derive(Serialize)]
+struct EraLine {
+    topic: StoreTopic,
+    era: StoreEra,
+    previous: Option<StoreEra>,
+    /// The position that was known before the read.
+    known: Option<u64>,
+    cursor: u64,
+}
+
+#[derive(Serialize)]
+struct ReportBehindLine {
+    topic: StoreTopic,
+    known: u64,
+    cursor: u64,
+    age_ms: Option<u32>,
+}
+
 #[derive(Serialize)]
 struct BackendFailureLine<'a> {
     request: &'a str,
@@ -199,6 +217,7 @@
         read: StoreRead,
         proven: MilliTime,
     ) {
+        self.log_era(topic, &read);
         let view = self.store_view.topic(topic);
         view.merge_read(from, read, proven, |change| self.apply_change(topic, &change));
         self.note_directory_read();
@@ -216,6 +235,7 @@
             [(StoreTopic::Configuration, configuration), (StoreTopic::Directory, directory)];
         for (topic, report) in reports {
             if let Some(report) = report {
+                self.log_report_behind(topic, &report);
                 let view = self.store_view.topic(topic);
                 view.merge_report(requested, report, |change| self.apply_change(topic, &change));
             }
@@ -365,6 +385,27 @@
         self.log.write(LineCategory::Change, event, &line);
     }
 
+    /// Logs that the store came back from a copy.
+    fn log_era(&self, topic: StoreTopic, read: &StoreRead) {
+        let previous = self.store_view.observe_era(read.era);
+        self.metrics.store_era.set(read.era.0.try_into().unwrap_or(i64::MAX));
+        if previous != Some(read.era) {
+            let known = self.store_view.topic(topic).cursor();
+            let line = EraLine { topic, era: read.era, previous, known, cursor: read.cursor };
+            self.log.write(LineCategory::Change, "store-era", &line);
+        }
+    }
+
+    /// Logs that another daemon knows less of a topic than this one.
+    fn log_report_behind(&self, topic: StoreTopic, report: &TopicReport) {
+        let known = self.store_view.topic(topic).cursor().unwrap_or(0);
+        if report.cursor < known {
+            let line =
+                ReportBehindLine { topic, known, cursor: report.cursor, age_ms: report.age_millis };
+            self.log.write(LineCategory::Change, "report-behind", &line);
+        }
+    }
+
     /// Counts a failed call to the store; logs the first failure of each reader.
     pub(crate) fn store_failed(&self, reader: &str, error: &StoreError) {
         self.metrics.count("store_failed");
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::watch;
 
-use super::keyed_store::{StoreRead, StoreTopic};
+use super::keyed_store::{StoreEra, StoreRead, StoreTopic};
 use super::topic_replica::{TopicChange, TopicReplica};
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::freshness::FreshnessProof;
@@ -106,6 +106,8 @@
     pub(crate) directory: TopicView,
     /// Incremented when records changed.
     changed: watch::Sender<u64>,
+    /// The era of the last read of the store.
+    era: Mutex<Option<StoreEra>>,
 }
 
 impl StoreView {
@@ -115,6 +117,7 @@
             configuration: TopicView::default(),
             directory: TopicView::default(),
             changed: watch::Sender::new(0),
+            era: Mutex::default(),
         }
     }
 
@@ -131,6 +134,11 @@
         self.configuration.age(self.clock.now())
     }
 
+    /// Records the era of a read and returns that of the one before.
+    pub(crate) fn observe_era(&self, era: StoreEra) -> Option<StoreEra> {
+        self.era.lock().expect("lock not poisoned").replace(era)
+    }
+
     /// Triggers messages to the daemons that follow this one.
     pub(crate) fn notify_change(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -79,7 +79,7 @@
         let all: Vec<StoreRecord> = of_topic.map(|(_, record)| record.clone()).collect();
         let cursor = all.len() as u64;
         let records = all.into_iter().skip(from as usize).collect();
-        StoreRead { records, cursor }
+        StoreRead { records, cursor, ..StoreRead::default() }
     }
 }
 
--- a/tests/suite/sidecar/replica.rs
+++ b/tests/suite/sidecar/replica.rs
@@ -82,7 +82,7 @@
             Some(from) => self.log[from as usize..].to_vec(),
             None => self.state(cursor).into_values().collect(),
         };
-        StoreRead { records, cursor }
+        StoreRead { records, cursor, ..StoreRead::default() }
     }
 }
 
