--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -8,4 +8,5 @@
 mod links;
 mod outcomes;
 mod replica;
+mod restores;
 mod stops;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 use lentilway::policy::token_share::RateWindow;
 use lentilway::sidecar::process::decision_log::DecisionLog;
 use lentilway::sidecar::process::keyed_store::{
-    KeyedStore, StoreError, StoreRead, StoreRecord, StoreTopic,
+    KeyedStore, StoreEra, StoreError, StoreRead, StoreRecord, StoreTopic,
 };
 use lentilway::sidecar::process::settings::SidecarSettings;
 use lentilway::sidecar::process::sidecar_daemon::SidecarDaemon;
@@ -46,6 +46,8 @@
     /// Calls of all kinds.
     pub(super) calls: AtomicUsize,
     is_down: Mutex<bool>,
+    /// How often it came back from a copy.
+    era: AtomicU64,
 }
 
 impl MemoryStore {
@@ -62,6 +64,30 @@
         self.written.notify_waiters();
     }
 
+    /// Comes back from a copy with the first `configurations` records of that topic and the first
+    /// `entries` of the directory.
+    pub(super) fn restore(&self, configurations: usize, entries: usize) {
+        let mut records = self.records.lock().unwrap();
+        records.retain(|(topic, record)| match topic {
+            StoreTopic::Configuration => record.position < configurations as u64,
+            StoreTopic::Directory => record.position < entries as u64,
+        });
+        self.era.fetch_add(1, Ordering::SeqCst);
+        drop(records);
+        self.written.notify_waiters();
+    }
+
+    /// The number of records of a topic.
+    pub(super) fn count(&self, topic: StoreTopic) -> usize {
+        self.read(topic, 0).records.len()
+    }
+
+    /// The newest value of a key in the directory.
+    pub(super) fn directory_value(&self, key: &str) -> Option<Vec<u8>> {
+        let records = self.read(StoreTopic::Directory, 0).records;
+        records.into_iter().rev().find(|record| record.key == key)?.value
+    }
+
     fn count_call(&self) {
         self.calls.fetch_add(1, Ordering::SeqCst);
     }
@@ -75,11 +101,12 @@
 
     fn read(&self, topic: StoreTopic, from: u64) -> StoreRead {
         let records = self.records.lock().unwrap();
+        let era = StoreEra(self.era.load(Ordering::SeqCst));
         let of_topic = records.iter().filter(|(other, _)| *other == topic);
         let all: Vec<StoreRecord> = of_topic.map(|(_, record)| record.clone()).collect();
         let cursor = all.len() as u64;
         let records = all.into_iter().skip(from as usize).collect();
-        StoreRead { records, cursor, ..StoreRead::default() }
+        StoreRead { records, cursor, era }
     }
 }
 
@@ -110,6 +137,9 @@
             let written = self.written.notified();
             self.check()?;
             let read = self.read(topic, cursor);
+            if read.cursor < cursor {
+                return Err(StoreError::Expired);
+            }
             if !read.records.is_empty() || Instant::now() >= end {
                 return Ok(read);
             }
