Positions in the store carry its era

Cause: a position was compared across the return. It goes back then and is assigned again, so a daemon dropped its reader's records (3 is less than the 4 it knew) and took the reader's proof of freshness (it 'knew' 4). A reader itself missed records whose positions were reached again before its next read.

Now a position is an era and an offset.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -13,6 +13,7 @@
 use crate::policy::body_limit::SMALL_BODY_BYTES;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::root_admission::CostList;
+use crate::policy::store_position::StorePosition;
 use crate::sidecar::process::body_budget::{BodyBudget, BodyLease};
 use crate::sidecar::process::topic_replica::TopicUpdate;
 use crate::sidecar::request::context::{CallContext, CallOutcome, ForwardRequest};
@@ -45,9 +46,9 @@
         /// Echoed in the answer.
         number: u64,
         /// The position up to which the sender knows the configuration.
-        configuration: Option<u64>,
+        configuration: Option<StorePosition>,
         /// The position up to which the sender knows the directory.
-        directory: Option<u64>,
+        directory: Option<StorePosition>,
     },
     /// The sender's records; without a number when they changed since it was last asked.
     Records {
@@ -96,7 +97,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TopicReport {
     /// The position up to which it knows the topic.
-    pub(crate) cursor: u64,
+    pub(crate) cursor: StorePosition,
     /// Every record written longer ago than this lies before `cursor`; `None` without proof.
     pub(crate) age_millis: Option<u32>,
     /// What the receiver lacks.
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -13,6 +13,7 @@
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
+use crate::policy::store_position::StorePosition;
 use crate::sidecar::process::backend_admission::BackendCall;
 use crate::sidecar::process::notice_watch::learn_notice;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
@@ -51,8 +52,8 @@
 #[derive(Default)]
 struct RecordFollower {
     asked: Option<MilliTime>,
-    configuration: Option<u64>,
-    directory: Option<u64>,
+    configuration: Option<StorePosition>,
+    directory: Option<StorePosition>,
 }
 
 impl RecordFollower {
@@ -65,8 +66,8 @@
         &mut self,
         shared: &SidecarShared,
         number: Option<u64>,
-        configuration: Option<u64>,
-        directory: Option<u64>,
+        configuration: Option<StorePosition>,
+        directory: Option<StorePosition>,
     ) -> PeerMessage {
         self.configuration = shared.store_view.configuration.cursor().max(configuration);
         self.directory = shared.store_view.directory.cursor().max(directory);
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -14,6 +14,7 @@
 use super::sidecar_shared::SidecarShared;
 use super::topic_replica::TopicChange;
 use crate::policy::incarnation::BackendIncarnation;
+use crate::policy::store_position::StorePosition;
 use crate::sidecar::connection::peer_link::maintain_link;
 
 /// Delay after the first write of this daemon's record that failed; it doubles up to the maximum.
@@ -41,7 +42,7 @@
 #[derive(Serialize)]
 struct DirectoryLine<'a> {
     daemons: usize,
-    cursor: u64,
+    cursor: StorePosition,
     names: &'a [&'a str],
 }
 
@@ -56,7 +57,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct DirectoryView {
     entries: Vec<DirectoryEntry>,
-    positions: HashMap<Arc<str>, u64>,
+    positions: HashMap<Arc<str>, StorePosition>,
 }
 
 impl DirectoryView {
@@ -80,7 +81,7 @@
 
     /// Adds an entry. One instance uses an address at a time, so of two records with the same
     /// address the newer one replaces the older.
-    fn insert(&mut self, entry: DirectoryEntry, position: u64) {
+    fn insert(&mut self, entry: DirectoryEntry, position: StorePosition) {
         let duplicate = self.entries.iter().position(|other| other.address == entry.address);
         if let Some(index) = duplicate {
             let other = &self.entries[index].name;
@@ -106,7 +107,7 @@
         let instances = self.entries.iter().filter(|entry| entry.service == *own_service);
         shared.backend_admission.set_instances(instances.count());
         let names: Vec<&str> = self.entries.iter().take(8).map(|entry| &*entry.name).collect();
-        let cursor = shared.store_view.directory.cursor().unwrap_or(0);
+        let cursor = shared.store_view.directory.cursor().unwrap_or_default();
         let line = DirectoryLine { daemons: self.entries.len(), cursor, names: &names };
         shared.log.write(LineCategory::Change, "directory", &line);
     }
--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::policy::store_position::{StoreEra, StorePosition};
+
 /// A topic that retains the newest record of each key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -16,14 +18,6 @@
     Directory,
 }
 
-/// How often the store came back from a copy of itself. Records that it had acknowledged before may
-/// be missing then, and positions are assigned again.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct StoreEra(pub u64);
-
 /// The newest record of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRecord {
@@ -32,7 +26,7 @@
     /// The value; `None` if the key was removed.
     pub value: Option<Vec<u8>>,
     /// The position in the topic, increasing with every record.
-    pub position: u64,
+    pub position: StorePosition,
 }
 
 /// Records, and the position up to which the topic was read.
@@ -41,9 +35,7 @@
     /// The records in write order.
     pub records: Vec<StoreRecord>,
     /// The read position, to be passed to [`KeyedStore::changes`].
-    pub cursor: u64,
-    /// The store's era at the time of the read.
-    pub era: StoreEra,
+    pub cursor: StorePosition,
 }
 
 /// Why a call to the store failed.
@@ -61,6 +53,12 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The store came back from a copy: positions of earlier eras are void.
+    #[snafu(display("the store came back from a copy, era {}", era.0))]
+    Restored {
+        /// Its era.
+        era: StoreEra,
+    },
     /// The records after the position are no longer retained.
     #[snafu(display("the store no longer retains the requested records"))]
     Expired,
@@ -72,7 +70,7 @@
     },
 }
 
-/// A store of keyed topics that loses no acknowledged write.
+/// A store of keyed topics that loses no acknowledged write within an era.
 #[async_trait]
 pub trait KeyedStore: Send + Sync {
     /// Reads the newest record of every key.
@@ -84,11 +82,12 @@
     /// Reads the records after `cursor`. Waits up to `wait` for the first, then returns empty.
     ///
     /// # Errors
-    /// [`StoreError::Expired`] if a snapshot is needed, otherwise as [`KeyedStore::snapshot`].
+    /// [`StoreError::Restored`] and [`StoreError::Expired`] if a snapshot is needed, otherwise as
+    /// [`KeyedStore::snapshot`].
     async fn changes(
         &self,
         topic: StoreTopic,
-        cursor: u64,
+        cursor: StorePosition,
         wait: Duration,
     ) -> Result<StoreRead, StoreError>;
 
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -14,7 +14,7 @@
 use super::body_budget::{BodyBudget, UsualSize};
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{DirectoryEntry, DirectoryView, apply_directory};
-use super::keyed_store::{KeyedStore, StoreEra, StoreError, StoreRead, StoreTopic};
+use super::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
 use super::notice_watch::{NoticeWatch, observe_notice};
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
@@ -29,6 +29,7 @@
 use crate::policy::placement::InstanceLoad;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::route_success::RouteSuccess;
+use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
 use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
@@ -93,17 +94,15 @@
 struct EraLine {
     topic: StoreTopic,
     era: StoreEra,
-    previous: Option<StoreEra>,
-    /// The position that was known before the read.
-    known: Option<u64>,
-    cursor: u64,
+    /// The position that was known before.
+    known: Option<StorePosition>,
 }
 
 #[derive(Serialize)]
 struct ReportBehindLine {
     topic: StoreTopic,
-    known: u64,
-    cursor: u64,
+    known: StorePosition,
+    cursor: StorePosition,
     age_ms: Option<u32>,
 }
 
@@ -213,11 +212,11 @@
     pub(crate) fn merge_read(
         self: &Arc<Self>,
         topic: StoreTopic,
-        from: Option<u64>,
+        from: Option<StorePosition>,
         read: StoreRead,
         proven: MilliTime,
     ) {
-        self.log_era(topic, &read);
+        self.observe_era(topic, read.cursor.era);
         let view = self.store_view.topic(topic);
         view.merge_read(from, read, proven, |change| self.apply_change(topic, &change));
         self.note_directory_read();
@@ -297,8 +296,8 @@
     pub(crate) fn store_reports(
         &self,
         number: Option<u64>,
-        configuration: Option<u64>,
-        directory: Option<u64>,
+        configuration: Option<StorePosition>,
+        directory: Option<StorePosition>,
     ) -> PeerMessage {
         let now = self.clock.now();
         PeerMessage::Records {
@@ -385,20 +384,19 @@
         self.log.write(LineCategory::Change, event, &line);
     }
 
-    /// Logs that the store came back from a copy.
-    fn log_era(&self, topic: StoreTopic, read: &StoreRead) {
-        let previous = self.store_view.observe_era(read.era);
-        self.metrics.store_era.set(read.era.0.try_into().unwrap_or(i64::MAX));
-        if previous != Some(read.era) {
+    /// Records the era of an answer of the store, and logs it if it is a new one.
+    pub(crate) fn observe_era(&self, topic: StoreTopic, era: StoreEra) {
+        if self.store_view.observe_era(era) {
+            self.metrics.store_era.set(era.0.try_into().unwrap_or(i64::MAX));
             let known = self.store_view.topic(topic).cursor();
-            let line = EraLine { topic, era: read.era, previous, known, cursor: read.cursor };
+            let line = EraLine { topic, era, known };
             self.log.write(LineCategory::Change, "store-era", &line);
         }
     }
 
     /// Logs that another daemon knows less of a topic than this one.
     fn log_report_behind(&self, topic: StoreTopic, report: &TopicReport) {
-        let known = self.store_view.topic(topic).cursor().unwrap_or(0);
+        let known = self.store_view.topic(topic).cursor().unwrap_or_default();
         if report.cursor < known {
             let line =
                 ReportBehindLine { topic, known, cursor: report.cursor, age_ms: report.age_millis };
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -160,13 +160,20 @@
     }
 
     fn record_failure(&mut self, error: &StoreError) {
-        if *error == StoreError::Expired {
-            self.shared.store_view.topic(self.topic).clear_cursor();
-        } else {
-            self.failures += 1;
-            let rank = self.shared.peers.reader_rank();
-            let delay = read_retry_delay(self.failures, rank, rand::random::<f64>());
-            self.retry_at = self.shared.clock.now() + delay;
+        let view = self.shared.store_view.topic(self.topic);
+        match error {
+            StoreError::Restored { era } => {
+                self.shared.observe_era(self.topic, *era);
+                view.clear_cursor();
+                return;
+            }
+            StoreError::Expired => view.clear_cursor(),
+            _ => {
+                self.failures += 1;
+                let rank = self.shared.peers.reader_rank();
+                let delay = read_retry_delay(self.failures, rank, rand::random::<f64>());
+                self.retry_at = self.shared.clock.now() + delay;
+            }
         }
         self.shared.store_failed(topic_name(self.topic), error);
     }
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -5,10 +5,11 @@
 
 use tokio::sync::watch;
 
-use super::keyed_store::{StoreEra, StoreRead, StoreTopic};
+use super::keyed_store::{StoreRead, StoreTopic};
 use super::topic_replica::{TopicChange, TopicReplica};
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::freshness::FreshnessProof;
+use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::sidecar::connection::frame::TopicReport;
 
 #[derive(Debug, Default)]
@@ -27,7 +28,7 @@
 
 impl TopicView {
     /// The position up to which the topic is known.
-    pub(crate) fn cursor(&self) -> Option<u64> {
+    pub(crate) fn cursor(&self) -> Option<StorePosition> {
         self.lock().replica.cursor()
     }
 
@@ -50,18 +51,23 @@
     /// changed. `from` is the position that was read from, `None` for a snapshot.
     pub(crate) fn merge_read(
         &self,
-        from: Option<u64>,
+        from: Option<StorePosition>,
         read: StoreRead,
         proven: MilliTime,
         apply: impl FnOnce(TopicChange),
     ) {
         let _order = self.apply_order.lock().expect("lock not poisoned");
+        let cursor = read.cursor;
         let change = self.lock().replica.apply_read(from, read);
         if let Some(change) = change {
             apply(change);
         }
-        // Whatever was written before that time lies before the position now held.
-        self.lock().freshness.prove(proven);
+        let mut state = self.lock();
+        // Whatever was written before that time lies before the position now held, unless the read
+        // was answered before the store came back from a copy.
+        if state.replica.cursor().is_some_and(|known| known.covers(cursor)) {
+            state.freshness.prove(proven);
+        }
     }
 
     /// Merges the report of another daemon, which answers a request made at `requested` if it is
@@ -78,14 +84,18 @@
             apply(change);
         }
         let mut state = self.lock();
-        let is_known = state.replica.cursor().is_some_and(|known| known >= report.cursor);
+        let is_known = state.replica.cursor().is_some_and(|known| known.covers(report.cursor));
         if let (true, Some(requested), Some(age)) = (is_known, requested, report.age_millis) {
             state.freshness.prove(requested.before(Duration::from_millis(u64::from(age))));
         }
     }
 
     /// The report for a daemon that knows the topic up to `known`; `None` before the first read.
-    pub(crate) fn report(&self, now: MilliTime, known: Option<u64>) -> Option<TopicReport> {
+    pub(crate) fn report(
+        &self,
+        now: MilliTime,
+        known: Option<StorePosition>,
+    ) -> Option<TopicReport> {
         let state = self.lock();
         let cursor = state.replica.cursor()?;
         let age_millis =
@@ -106,7 +116,7 @@
     pub(crate) directory: TopicView,
     /// Incremented when records changed.
     changed: watch::Sender<u64>,
-    /// The era of the last read of the store.
+    /// The newest era that the store has stated.
     era: Mutex<Option<StoreEra>>,
 }
 
@@ -134,9 +144,14 @@
         self.configuration.age(self.clock.now())
     }
 
-    /// Records the era of a read and returns that of the one before.
-    pub(crate) fn observe_era(&self, era: StoreEra) -> Option<StoreEra> {
-        self.era.lock().expect("lock not poisoned").replace(era)
+    /// Records the era of an answer of the store; whether it is a new one.
+    pub(crate) fn observe_era(&self, era: StoreEra) -> bool {
+        let mut newest = self.era.lock().expect("lock not poisoned");
+        let is_new = newest.is_none_or(|newest| era > newest);
+        if is_new {
+            *newest = Some(era);
+        }
+        is_new
     }
 
     /// Triggers messages to the daemons that follow this one.
--- a/src/sidecar/process/topic_replica.rs
+++ b/src/sidecar/process/topic_replica.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::keyed_store::{StoreRead, StoreRecord};
+use crate::policy::store_position::{StoreEra, StorePosition};
 
 /// Removed keys that are remembered, so that other daemons can be told of the removal.
 const REMOVED_KEYS_MAX: usize = 1_024;
@@ -13,11 +14,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TopicUpdate {
     /// The position from which on the update is complete; `None` if it holds all keys.
-    pub from: Option<u64>,
+    pub from: Option<StorePosition>,
     /// The newest record of each key that changed, in the order of their positions.
     pub records: Vec<StoreRecord>,
     /// The position up to which it is complete.
-    pub cursor: u64,
+    pub cursor: StorePosition,
 }
 
 /// What an update changed.
@@ -33,25 +34,27 @@
 #[derive(Clone, Debug, Default)]
 pub struct TopicReplica {
     records: BTreeMap<String, StoreRecord>,
-    cursor: Option<u64>,
+    cursor: Option<StorePosition>,
+    /// The newest era seen.
+    era: StoreEra,
     /// Removals before this position may be unknown.
-    removals_from: u64,
+    removals_from: StorePosition,
     removed: usize,
 }
 
 impl TopicReplica {
     /// The position up to which the topic is known; `None` before the first read.
-    pub fn cursor(&self) -> Option<u64> {
+    pub fn cursor(&self) -> Option<StorePosition> {
         self.cursor
     }
 
-    /// The changes since `cursor`, or all records if that position is unknown here; `None` if this
-    /// replica is not ahead of it.
-    pub fn update_since(&self, cursor: Option<u64>) -> Option<TopicUpdate> {
+    /// The changes since `cursor`, or all records if that position is unknown here or of an earlier
+    /// era; `None` if this replica is not ahead of it.
+    pub fn update_since(&self, cursor: Option<StorePosition>) -> Option<TopicUpdate> {
         let end = self.cursor?;
         match cursor {
             Some(known) if known >= end => None,
-            Some(known) if known >= self.removals_from => Some(TopicUpdate {
+            Some(known) if known.covers(self.removals_from) => Some(TopicUpdate {
                 from: Some(known),
                 records: self.sorted(|record| record.position >= known),
                 cursor: end,
@@ -65,36 +68,44 @@
     }
 
     /// Applies an update from another daemon and returns what changed. An update that is not newer,
-    /// or that leaves a gap, is ignored.
+    /// or that leaves a gap, is ignored. Only a snapshot leads to another era.
     ///
     /// ```
+    /// use lentilway::policy::store_position::{StoreEra, StorePosition};
     /// use lentilway::sidecar::process::topic_replica::{TopicReplica, TopicUpdate};
+    /// let position = |offset| StorePosition { era: StoreEra(1), offset };
     /// let mut replica = TopicReplica::default();
-    /// let snapshot = TopicUpdate { from: None, records: Vec::new(), cursor: 7 };
+    /// let snapshot = TopicUpdate { from: None, records: Vec::new(), cursor: position(7) };
     /// assert!(replica.apply_update(snapshot.clone()).is_some());
     /// assert!(replica.apply_update(snapshot).is_none());
-    /// let with_gap = TopicUpdate { from: Some(8), records: Vec::new(), cursor: 9 };
+    /// let with_gap =
+    ///     TopicUpdate { from: Some(position(8)), records: Vec::new(), cursor: position(9) };
     /// assert!(replica.apply_update(with_gap).is_none());
-    /// assert_eq!(replica.cursor(), Some(7));
+    /// assert_eq!(replica.cursor(), Some(position(7)));
     /// ```
     pub fn apply_update(&mut self, update: TopicUpdate) -> Option<TopicChange> {
-        if self.cursor.is_some_and(|known| update.cursor <= known) {
+        let TopicUpdate { from, records, cursor } = update;
+        if cursor.era < self.era || self.cursor.is_some_and(|known| cursor <= known) {
             return None;
         }
-        let TopicUpdate { from, records, cursor } = update;
         let is_snapshot = from.is_none();
         match (from, self.cursor) {
             (None, _) => self.clear(cursor),
-            (Some(from), Some(known)) if from <= known => {}
+            (Some(from), Some(known)) if known.covers(from) && cursor.covers(known) => {}
             (Some(_), _) => return None,
         }
         let records = self.insert(records);
         self.cursor = Some(cursor);
+        self.era = cursor.era;
         Some(TopicChange { is_snapshot, records })
     }
 
     /// Applies a read of the store from position `from`, or of a snapshot, and returns what changed.
-    pub fn apply_read(&mut self, from: Option<u64>, read: StoreRead) -> Option<TopicChange> {
+    pub fn apply_read(
+        &mut self,
+        from: Option<StorePosition>,
+        read: StoreRead,
+    ) -> Option<TopicChange> {
         self.apply_update(TopicUpdate { from, records: read.records, cursor: read.cursor })
     }
 
@@ -103,7 +114,7 @@
         self.cursor = None;
     }
 
-    fn clear(&mut self, cursor: u64) {
+    fn clear(&mut self, cursor: StorePosition) {
         self.records.clear();
         self.removed = 0;
         self.removals_from = cursor;
@@ -137,7 +148,8 @@
         let (key, position) = (oldest.key.clone(), oldest.position);
         self.records.remove(&key);
         self.removed -= 1;
-        self.removals_from = self.removals_from.max(position + 1);
+        let after = StorePosition { offset: position.offset + 1, ..position };
+        self.removals_from = self.removals_from.max(after);
     }
 
     fn sorted(&self, is_wanted: impl Fn(&StoreRecord) -> bool) -> Vec<StoreRecord> {
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use crate::policy::store_position::StorePosition;
 use crate::sidecar::process::decision_log::LineCategory;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 use crate::sidecar::process::topic_replica::TopicChange;
@@ -11,12 +12,12 @@
     version: u64,
     previous: u64,
     routes: usize,
-    cursor: u64,
+    cursor: StorePosition,
 }
 
 #[derive(Serialize)]
 struct ConfigErrorLine {
-    cursor: u64,
+    cursor: StorePosition,
     problem: String,
 }
 
@@ -28,7 +29,7 @@
     let Some(value) = newest.and_then(|record| record.value.as_ref()) else {
         return;
     };
-    let cursor = shared.store_view.configuration.cursor().unwrap_or(0);
+    let cursor = shared.store_view.configuration.cursor().unwrap_or_default();
     match shared.dialect.config(value) {
         Ok(config) => {
             let previous = shared.config_version();
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -18,10 +18,11 @@
 use lentilway::clock::MilliClock;
 use lentilway::platform::PlatformDialect;
 use lentilway::policy::retry_allowance::RetryTerms;
+use lentilway::policy::store_position::{StoreEra, StorePosition};
 use lentilway::policy::token_share::RateWindow;
 use lentilway::sidecar::process::decision_log::DecisionLog;
 use lentilway::sidecar::process::keyed_store::{
-    KeyedStore, StoreEra, StoreError, StoreRead, StoreRecord, StoreTopic,
+    KeyedStore, StoreError, StoreRead, StoreRecord, StoreTopic,
 };
 use lentilway::sidecar::process::settings::SidecarSettings;
 use lentilway::sidecar::process::sidecar_daemon::SidecarDaemon;
@@ -58,7 +59,8 @@
 
     pub(super) fn write(&self, topic: StoreTopic, key: &str, value: Option<Vec<u8>>) {
         let mut records = self.records.lock().unwrap();
-        let position = records.iter().filter(|(other, _)| *other == topic).count() as u64;
+        let offset = records.iter().filter(|(other, _)| *other == topic).count() as u64;
+        let position = StorePosition { era: self.era(), offset };
         records.push((topic, StoreRecord { key: key.to_owned(), value, position }));
         drop(records);
         self.written.notify_waiters();
@@ -69,8 +71,8 @@
     pub(super) fn restore(&self, configurations: usize, entries: usize) {
         let mut records = self.records.lock().unwrap();
         records.retain(|(topic, record)| match topic {
-            StoreTopic::Configuration => record.position < configurations as u64,
-            StoreTopic::Directory => record.position < entries as u64,
+            StoreTopic::Configuration => record.position.offset < configurations as u64,
+            StoreTopic::Directory => record.position.offset < entries as u64,
         });
         self.era.fetch_add(1, Ordering::SeqCst);
         drop(records);
@@ -88,6 +90,10 @@
         records.into_iter().rev().find(|record| record.key == key)?.value
     }
 
+    fn era(&self) -> StoreEra {
+        StoreEra(self.era.load(Ordering::SeqCst))
+    }
+
     fn count_call(&self) {
         self.calls.fetch_add(1, Ordering::SeqCst);
     }
@@ -101,12 +107,13 @@
 
     fn read(&self, topic: StoreTopic, from: u64) -> StoreRead {
         let records = self.records.lock().unwrap();
-        let era = StoreEra(self.era.load(Ordering::SeqCst));
         let of_topic = records.iter().filter(|(other, _)| *other == topic);
-        let all: Vec<StoreRecord> = of_topic.map(|(_, record)| record.clone()).collect();
-        let cursor = all.len() as u64;
+        let mut all: Vec<StoreRecord> = of_topic.map(|(_, record)| record.clone()).collect();
+        let era = self.era();
+        all.iter_mut().for_each(|record| record.position.era = era);
+        let cursor = StorePosition { era, offset: all.len() as u64 };
         let records = all.into_iter().skip(from as usize).collect();
-        StoreRead { records, cursor, era }
+        StoreRead { records, cursor }
     }
 }
 
@@ -127,7 +134,7 @@
     async fn changes(
         &self,
         topic: StoreTopic,
-        cursor: u64,
+        cursor: StorePosition,
         wait: Duration,
     ) -> Result<StoreRead, StoreError> {
         self.count_call();
@@ -136,9 +143,9 @@
         loop {
             let written = self.written.notified();
             self.check()?;
-            let read = self.read(topic, cursor);
-            if read.cursor < cursor {
-                return Err(StoreError::Expired);
+            let read = self.read(topic, cursor.offset);
+            if read.cursor.era != cursor.era {
+                return Err(StoreError::Restored { era: read.cursor.era });
             }
             if !read.records.is_empty() || Instant::now() >= end {
                 return Ok(read);
--- a/tests/suite/sidecar/replica.rs
+++ b/tests/suite/sidecar/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use googletest::prelude::*;
+use lentilway::policy::store_position::{StoreEra, StorePosition};
 use lentilway::sidecar::process::keyed_store::{StoreRead, StoreRecord};
 use lentilway::sidecar::process::topic_replica::{TopicReplica, TopicUpdate};
 use proptest::prelude::{Strategy, any, prop};
@@ -31,6 +32,14 @@
         other: usize,
         known: u64,
     },
+    /// The store comes back from a copy that lacks the newest records.
+    Restore {
+        lost: u8,
+    },
+    /// A read is answered from before the store came back for the last time.
+    LateRead {
+        replica: usize,
+    },
     /// The store no longer has the records that a replica asks for.
     Expired {
         replica: usize,
@@ -49,40 +58,74 @@
             .prop_map(|(replica, other)| TopicEvent::Ask { replica, other }),
         2 => (replica(), replica(), 0..60_u64)
             .prop_map(|(replica, other, known)| TopicEvent::Misdelivered { replica, other, known }),
+        1 => (0..6_u8).prop_map(|lost| TopicEvent::Restore { lost }),
+        1 => replica().prop_map(|replica| TopicEvent::LateRead { replica }),
         1 => replica().prop_map(|replica| TopicEvent::Expired { replica }),
     ];
     prop::collection::vec(event, 0..120)
 }
 
-#[derive(Default)]
+/// The records of a topic in each era.
 struct TestTopic {
-    log: Vec<StoreRecord>,
+    eras: Vec<Vec<StoreRecord>>,
+    written: u8,
 }
 
 impl TestTopic {
-    fn write(&mut self, key: u8, is_removal: bool) {
-        let position = self.log.len() as u64;
-        let value = (!is_removal).then(|| vec![position as u8]);
-        self.log.push(StoreRecord { key: key.to_string(), value, position });
+    fn new() -> Self {
+        TestTopic { eras: vec![Vec::new()], written: 0 }
+    }
+
+    fn end(&self) -> StorePosition {
+        let era = self.eras.len() - 1;
+        StorePosition { era: StoreEra(era as u64), offset: self.eras[era].len() as u64 }
+    }
+
+    fn write(&mut self, key: String, is_removal: bool) {
+        self.written = self.written.wrapping_add(1);
+        let value = (!is_removal).then(|| vec![self.written]);
+        let position = self.end();
+        self.eras.last_mut().unwrap().push(StoreRecord { key, value, position });
     }
 
-    /// The newest record of each present key after the first `length` records.
-    fn state(&self, length: u64) -> BTreeMap<String, StoreRecord> {
+    fn restore(&mut self, lost: usize) {
+        let mut copy = self.eras.last().unwrap().clone();
+        copy.truncate(copy.len().saturating_sub(lost));
+        let era = StoreEra(self.eras.len() as u64);
+        copy.iter_mut().for_each(|record| record.position.era = era);
+        self.eras.push(copy);
+    }
+
+    /// The newest record of each present key up to `end`.
+    fn state(&self, end: StorePosition) -> BTreeMap<String, StoreRecord> {
         let mut state = BTreeMap::new();
-        for record in &self.log[..length as usize] {
+        for record in &self.eras[end.era.0 as usize][..end.offset as usize] {
             state.insert(record.key.clone(), record.clone());
         }
         state.retain(|_, record| record.value.is_some());
         state
     }
 
-    fn read(&self, from: Option<u64>) -> StoreRead {
-        let cursor = self.log.len() as u64;
+    /// A read that ends at `end`; `None` if the store refuses it because of its era.
+    fn read(&self, from: Option<StorePosition>, end: StorePosition) -> Option<StoreRead> {
         let records = match from {
-            Some(from) => self.log[from as usize..].to_vec(),
-            None => self.state(cursor).into_values().collect(),
+            Some(from) if from.era != end.era || from > end => return None,
+            Some(from) => {
+                let log = &self.eras[end.era.0 as usize];
+                log[from.offset as usize..end.offset as usize].to_vec()
+            }
+            None => self.state(end).into_values().collect(),
         };
-        StoreRead { records, cursor, ..StoreRead::default() }
+        Some(StoreRead { records, cursor: end })
+    }
+}
+
+/// Reads the store as a daemon does: without the position if the store refuses it.
+fn read_to(replica: &mut TopicReplica, topic: &TestTopic, end: StorePosition) {
+    let from = replica.cursor();
+    match topic.read(from, end) {
+        Some(read) => drop(replica.apply_read(from, read)),
+        None => drop(replica.apply_read(None, topic.read(None, end).unwrap())),
     }
 }
 
@@ -93,21 +136,27 @@
 
 /// Plays `events` and checks each replica after each of them.
 fn check_replicas(events: Vec<TopicEvent>) -> std::result::Result<(), TestCaseError> {
-    let mut topic = TestTopic::default();
+    let mut topic = TestTopic::new();
     let mut replicas: Vec<TopicReplica> = vec![TopicReplica::default(); REPLICAS];
     for event in events {
-        let before: Vec<Option<u64>> = replicas.iter().map(TopicReplica::cursor).collect();
+        let before: Vec<Option<StorePosition>> =
+            replicas.iter().map(TopicReplica::cursor).collect();
         match event {
-            TopicEvent::Write { key, is_removal } => topic.write(key, is_removal),
-            TopicEvent::Read { replica } => {
-                let from = replicas[replica].cursor();
-                replicas[replica].apply_read(from, topic.read(from));
+            TopicEvent::Write { key, is_removal } => topic.write(key.to_string(), is_removal),
+            TopicEvent::Read { replica } => read_to(&mut replicas[replica], &topic, topic.end()),
+            TopicEvent::Restore { lost } => topic.restore(usize::from(lost)),
+            TopicEvent::LateRead { replica } => {
+                let era = topic.eras.len().saturating_sub(2);
+                let offset = topic.eras[era].len() as u64;
+                let end = StorePosition { era: StoreEra(era as u64), offset };
+                read_to(&mut replicas[replica], &topic, end);
             }
             TopicEvent::Ask { replica, other } => {
                 let update = replicas[other].update_since(replicas[replica].cursor());
                 update.and_then(|update| replicas[replica].apply_update(update));
             }
             TopicEvent::Misdelivered { replica, other, known } => {
+                let known = StorePosition { offset: known, ..topic.end() };
                 let update = replicas[other].update_since(Some(known));
                 update.and_then(|update| replicas[replica].apply_update(update));
             }
@@ -137,18 +186,14 @@
 /// Removals are told to those who held the key, also after many others.
 #[gtest]
 fn update_since_many_removals() {
-    let mut topic = TestTopic::default();
-    (0..200).for_each(|key| topic.write(key, false));
+    let mut topic = TestTopic::new();
+    (0..200).for_each(|key| topic.write(key.to_string(), false));
     let mut holder = TopicReplica::default();
-    holder.apply_read(None, topic.read(None));
+    read_to(&mut holder, &topic, topic.end());
     let mut late = holder.clone();
-    for index in 0..2_000_u64 {
-        let position = topic.log.len() as u64;
-        let key = format!("other-{index}");
-        topic.log.push(StoreRecord { key, value: None, position });
-    }
-    (0..200).for_each(|key| topic.write(key, true));
-    holder.apply_read(holder.cursor(), topic.read(holder.cursor()));
+    (0..2_000).for_each(|index| topic.write(format!("other-{index}"), true));
+    (0..200).for_each(|key| topic.write(key.to_string(), true));
+    read_to(&mut holder, &topic, topic.end());
     let update = holder.update_since(late.cursor()).expect("the holder is ahead");
     late.apply_update(update);
     expect_that!(present(&late), is_empty());
@@ -158,13 +203,14 @@
 /// A forged update that claims the end of the topic does not hide records of the store.
 #[gtest]
 fn apply_update_gap_ignored() {
-    let mut topic = TestTopic::default();
-    topic.write(1, false);
+    let mut topic = TestTopic::new();
+    topic.write("1".to_owned(), false);
     let mut replica = TopicReplica::default();
-    replica.apply_read(None, topic.read(None));
-    let update = TopicUpdate { from: Some(7), records: Vec::new(), cursor: 9 };
+    read_to(&mut replica, &topic, topic.end());
+    let position = |offset| StorePosition { offset, ..topic.end() };
+    let update = TopicUpdate { from: Some(position(7)), records: Vec::new(), cursor: position(9) };
     expect_that!(replica.apply_update(update), none());
-    topic.write(2, false);
-    replica.apply_read(replica.cursor(), topic.read(replica.cursor()));
-    expect_that!(present(&replica), eq(&topic.state(2)));
+    topic.write("2".to_owned(), false);
+    read_to(&mut replica, &topic, topic.end());
+    expect_that!(present(&replica), eq(&topic.state(topic.end())));
 }
