Daemons whose records a restored store lacks write them again

Callers got 503 for as long as the fleet ran: a daemon that had registered after the copy was taken was in no directory any more, and the others closed their links to it (registration_written_again_after_restore: 503 to each request, and no record after 3 s).

Cause: a daemon wrote its record once in its life and took the store's acknowledgement as lasting. It holds within an era only.

Now a write returns the era that acknowledged it. When the directory of a later era is known, a daemon looks for its own record there and writes it again if it is missing or older, spread over half a second. Until then, for 10 s at most, the others keep the entries that the copy lacks: links, the divisor of rates and the parts of retry budgets do not move. A fleet writes what was lost and no more: at most one call for each daemon that registered after the copy.

--- a/src/policy/read_schedule.rs
+++ b/src/policy/read_schedule.rs
@@ -147,6 +147,18 @@
     step.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
+/// The part of `span` that a daemon waits so that many do not act at once: by its key, which is a
+/// hash.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::policy::read_schedule::spread_by_key;
+/// assert_eq!(spread_by_key(u64::MAX / 2, Duration::from_millis(500)).as_millis(), 250);
+/// ```
+pub fn spread_by_key(key: u64, span: Duration) -> Duration {
+    span.mul_f64(key as f64 / u64::MAX as f64)
+}
+
 /// Time in which daemons that start together read the directory for the first time after they
 /// registered.
 const FIRST_READ_SPAN: Duration = Duration::from_millis(500);
@@ -161,7 +173,7 @@
 /// assert_eq!(first_read_delay(u64::MAX / 2).as_millis(), 250);
 /// ```
 pub fn first_read_delay(key: u64) -> Duration {
-    FIRST_READ_SPAN.mul_f64(key as f64 / u64::MAX as f64)
+    spread_by_key(key, FIRST_READ_SPAN)
 }
 
 /// Delay after the first failed read of a reader.
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -292,7 +292,7 @@
 /// Writes the leave into this daemon's record.
 async fn record_leave(shared: &SidecarShared) {
     match timeout(LEAVE_WRITE_TIMEOUT, write_own_entry(shared, &shared.own_entry())).await {
-        Ok(Ok(())) => {}
+        Ok(Ok(_)) => {}
         Ok(Err(error)) => shared.store_failed("leave-record", &error),
         Err(_) => shared.metrics.count("leave_record_late"),
     }
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -13,8 +13,10 @@
 use super::keyed_store::{StoreError, StoreTopic};
 use super::sidecar_shared::SidecarShared;
 use super::topic_replica::TopicChange;
+use crate::clock::MilliTime;
 use crate::policy::incarnation::BackendIncarnation;
-use crate::policy::store_position::StorePosition;
+use crate::policy::read_schedule::spread_by_key;
+use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::sidecar::connection::peer_link::maintain_link;
 
 /// Delay after the first write of this daemon's record that failed; it doubles up to the maximum.
@@ -23,6 +25,11 @@
 /// A write without an answer may have taken effect, or may do so soon: its record is awaited for
 /// this long before it is written again.
 const WRITE_CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Entries that the copy lacks from which the store came back are kept for this long, in which their
+/// daemons write them again.
+const CARRIED_SPAN: Duration = Duration::from_secs(10);
+/// Daemons that write their records again do so within this time.
+const REWRITE_SPAN: Duration = Duration::from_millis(500);
 /// Time between checks whether other links are needed.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -58,16 +65,24 @@
 pub(crate) struct DirectoryView {
     entries: Vec<DirectoryEntry>,
     positions: HashMap<Arc<str>, StorePosition>,
+    era: StoreEra,
+    /// Names of entries from before the store came back, and until when they are kept.
+    carried: HashMap<Arc<str>, MilliTime>,
 }
 
 impl DirectoryView {
     fn apply(&mut self, shared: &SidecarShared, change: &TopicChange) {
-        if change.is_snapshot {
-            self.entries.clear();
-            self.positions.clear();
+        if change.era > self.era {
+            let until = shared.clock.now() + CARRIED_SPAN;
+            let names = self.entries.iter().map(|entry| (entry.name.clone(), until));
+            self.carried = names.collect();
+            self.era = change.era;
+        } else if change.is_snapshot {
+            self.entries.retain(|entry| self.carried.contains_key(&entry.name));
         }
         for record in &change.records {
             self.entries.retain(|entry| *entry.name != *record.key);
+            self.carried.remove(&*record.key);
             let Some(value) = &record.value else {
                 continue;
             };
@@ -94,6 +109,16 @@
         self.entries.push(entry);
     }
 
+    /// Drops carried entries that were not written again in time; whether there were any.
+    fn drop_carried(&mut self, now: MilliTime) -> bool {
+        let is_expired = |until: &MilliTime| now >= *until;
+        let before = self.entries.len();
+        let carried = &self.carried;
+        self.entries.retain(|entry| !carried.get(&entry.name).is_some_and(is_expired));
+        self.carried.retain(|_, until| !is_expired(until));
+        self.entries.len() < before
+    }
+
     fn own_entry<'a>(&'a self, shared: &SidecarShared) -> Option<&'a DirectoryEntry> {
         self.entries.iter().find(|entry| entry.name == shared.settings.name)
     }
@@ -122,6 +147,11 @@
 pub(crate) async fn maintain_links(shared: Arc<SidecarShared>) {
     loop {
         sleep(LINK_CHECK_INTERVAL).await;
+        let mut view = shared.directory.lock().expect("lock not poisoned");
+        if view.drop_carried(shared.clock.now()) {
+            view.publish(&shared);
+        }
+        drop(view);
         if shared.peers.needs_refresh() {
             connect_peers(&shared);
         }
@@ -146,19 +176,32 @@
     shared.log.write(LineCategory::Failure, "record-unreadable", &line);
 }
 
-/// Writes this daemon's record unless the store has it, for instance from before a restart.
+/// Writes this daemon's record unless the store has it, for instance from before a restart, and again
+/// when the store came back from a copy that lacks it. Runs until the task is aborted.
 pub(crate) async fn register_daemon(shared: Arc<SidecarShared>) {
     shared.backend_watch.directory_was_read().await;
+    loop {
+        let era = write_until_registered(&shared).await;
+        wait_until_restored(&shared, era).await;
+        sleep(spread_by_key(shared.own_key, REWRITE_SPAN)).await;
+    }
+}
+
+/// Writes this daemon's record until the store has it; returns the era in which it has.
+async fn write_until_registered(shared: &SidecarShared) -> StoreEra {
     let mut delay = WRITE_RETRY_DELAY;
-    while !is_registered(&shared) {
-        match write_own_entry(&shared, &shared.own_entry()).await {
-            Ok(()) => return,
+    loop {
+        if let Some(era) = registered_era(shared) {
+            return era;
+        }
+        match write_own_entry(shared, &shared.own_entry()).await {
+            Ok(era) => return era,
             Err(error) => {
                 shared.store_failed("registration", &error);
                 if matches!(error, StoreError::NoAnswer { .. }) {
-                    let confirmed = wait_until_registered(&shared);
-                    if timeout(WRITE_CONFIRM_TIMEOUT, confirmed).await.is_ok() {
-                        return;
+                    let confirmed = wait_until_registered(shared);
+                    if let Ok(era) = timeout(WRITE_CONFIRM_TIMEOUT, confirmed).await {
+                        return era;
                     }
                 }
                 sleep(delay.mul_f64(0.5 + rand::random::<f64>())).await;
@@ -168,30 +211,45 @@
     }
 }
 
-fn is_registered(shared: &SidecarShared) -> bool {
+/// The era of the known directory, if it has this daemon's record.
+fn registered_era(shared: &SidecarShared) -> Option<StoreEra> {
     let view = shared.directory.lock().expect("lock not poisoned");
-    view.own_entry(shared) == Some(&shared.own_entry())
+    let is_registered = view.own_entry(shared) == Some(&shared.own_entry())
+        && !view.carried.contains_key(&shared.settings.name);
+    is_registered.then_some(view.era)
+}
+
+async fn wait_until_registered(shared: &SidecarShared) -> StoreEra {
+    let mut changes = shared.store_view.subscribe();
+    loop {
+        if let Some(era) = registered_era(shared) {
+            return era;
+        }
+        // The sender lives as long as `shared`.
+        let _ = changes.changed().await;
+    }
 }
 
-async fn wait_until_registered(shared: &SidecarShared) {
+/// Waits until the directory of an era after `era` is known.
+async fn wait_until_restored(shared: &SidecarShared, era: StoreEra) {
     let mut changes = shared.store_view.subscribe();
-    while !is_registered(shared) {
+    while shared.directory.lock().expect("lock not poisoned").era <= era {
         // The sender lives as long as `shared`.
         let _ = changes.changed().await;
     }
 }
 
-/// Writes this daemon's record.
+/// Writes this daemon's record; returns the era of the store that acknowledged it.
 pub(crate) async fn write_own_entry(
     shared: &SidecarShared,
     own: &DirectoryEntry,
-) -> Result<(), StoreError> {
+) -> Result<StoreEra, StoreError> {
     let value = serde_json::to_vec(own)
         .map_err(|error| StoreError::Unreadable { reason: error.to_string() })?;
     shared.store.put(StoreTopic::Directory, &own.name, Some(&value)).await
 }
 
 /// Removes this daemon's record, for an instance that does not return.
-pub(crate) async fn remove_own_entry(shared: &SidecarShared) -> Result<(), StoreError> {
+pub(crate) async fn remove_own_entry(shared: &SidecarShared) -> Result<StoreEra, StoreError> {
     shared.store.put(StoreTopic::Directory, &shared.settings.name, None).await
 }
--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -91,7 +91,7 @@
         wait: Duration,
     ) -> Result<StoreRead, StoreError>;
 
-    /// Writes the value of a key; `None` removes the key.
+    /// Writes the value of a key, `None` to remove the key; returns the era of the store.
     ///
     /// # Errors
     /// [`StoreError::NoAnswer`] if the write may still take effect.
@@ -100,5 +100,5 @@
         topic: StoreTopic,
         key: &str,
         value: Option<&[u8]>,
-    ) -> Result<(), StoreError>;
+    ) -> Result<StoreEra, StoreError>;
 }
--- a/src/sidecar/process/topic_replica.rs
+++ b/src/sidecar/process/topic_replica.rs
@@ -28,6 +28,8 @@
     pub is_snapshot: bool,
     /// The changed records, in the order of their positions.
     pub records: Vec<StoreRecord>,
+    /// The era of the records.
+    pub era: StoreEra,
 }
 
 /// The newest record of each key, and the position up to which the topic is known.
@@ -97,7 +99,7 @@
         let records = self.insert(records);
         self.cursor = Some(cursor);
         self.era = cursor.era;
-        Some(TopicChange { is_snapshot, records })
+        Some(TopicChange { is_snapshot, records, era: cursor.era })
     }
 
     /// Applies a read of the store from position `from`, or of a snapshot, and returns what changed.
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -159,11 +159,11 @@
         topic: StoreTopic,
         key: &str,
         value: Option<&[u8]>,
-    ) -> Result<(), StoreError> {
+    ) -> Result<StoreEra, StoreError> {
         self.count_call();
         self.check()?;
         self.write(topic, key, value.map(<[u8]>::to_vec));
-        Ok(())
+        Ok(self.era())
     }
 }
 
