A server that left stays out although the store lost the record of it

Cause: the record in the store was the only memory of a leave outside the daemon's own process. A view of the directory took an older record for the newer state.

Leaves of a daemon's backend servers are ordered by the servers' own start, not by the record's position, so a directory view keeps the last one. A daemon tells it to the one that it links to before it sends a call (frame Notice), as it tells limits and leaves heard in answers with each call; the receiver records it again.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -61,6 +61,8 @@
     /// Requests tokens for the sender.
     #[serde(rename = "WantTokens")]
     RequestTokens(Vec<TokenAmount>),
+    /// What the sender knows of the receiver's backend server; sent when it has linked.
+    Notice(KnownNotice),
 }
 
 /// A request to run at the receiver's backend server.
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -200,10 +200,15 @@
         PeerMessage::AskRecords { number, configuration, directory } => {
             link.send(shared.store_reports(Some(number), configuration, directory));
         }
-        PeerMessage::Hello { .. }
-        | PeerMessage::Alive
+        PeerMessage::Hello { .. } => {
+            if let Some(notice) = shared.notice_for(peer) {
+                link.send(PeerMessage::Notice(notice));
+            }
+        }
+        PeerMessage::Alive
         | PeerMessage::Call(_)
         | PeerMessage::Cancel(_)
+        | PeerMessage::Notice(_)
         | PeerMessage::RequestTokens(_) => {}
     }
 }
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -152,6 +152,7 @@
                         let requested = start_request.filter(|_| number == Some(START_REQUEST));
                         shared.merge_reports(requested, configuration, directory);
                     }
+                    PeerMessage::Notice(notice) => learn_notice(shared, notice),
                     PeerMessage::Hello { .. }
                     | PeerMessage::Alive
                     | PeerMessage::Load(_)
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -68,6 +68,8 @@
     era: StoreEra,
     /// Names of entries from before the store came back, and until when they are kept.
     carried: HashMap<Arc<str>, MilliTime>,
+    /// The last backend server that left at each daemon, also if its record was lost.
+    leaves: HashMap<Arc<str>, BackendIncarnation>,
 }
 
 impl DirectoryView {
@@ -87,7 +89,10 @@
                 continue;
             };
             match serde_json::from_slice::<DirectoryEntry>(value) {
-                Ok(entry) if *entry.name == *record.key => self.insert(entry, record.position),
+                Ok(entry) if *entry.name == *record.key => {
+                    self.remember_leave(&entry);
+                    self.insert(entry, record.position);
+                }
                 Ok(_) => report_unreadable(shared, &record.key, "the name differs from the key"),
                 Err(error) => report_unreadable(shared, &record.key, &error.to_string()),
             }
@@ -109,6 +114,21 @@
         self.entries.push(entry);
     }
 
+    fn remember_leave(&mut self, entry: &DirectoryEntry) {
+        let Some(left) = &entry.left else {
+            return;
+        };
+        let known = self.leaves.entry(entry.name.clone()).or_insert_with(|| left.clone());
+        if left.born > known.born {
+            *known = left.clone();
+        }
+    }
+
+    /// The last backend server that left at the daemon `name`.
+    pub(crate) fn left_at(&self, name: &str) -> Option<&BackendIncarnation> {
+        self.leaves.get(name)
+    }
+
     /// Drops carried entries that were not written again in time; whether there were any.
     fn drop_carried(&mut self, now: MilliTime) -> bool {
         let is_expired = |until: &MilliTime| now >= *until;
@@ -123,7 +143,9 @@
         self.entries.iter().find(|entry| entry.name == shared.settings.name)
     }
 
-    fn publish(&self, shared: &Arc<SidecarShared>) {
+    fn publish(&mut self, shared: &Arc<SidecarShared>) {
+        let entries = &self.entries;
+        self.leaves.retain(|name, _| entries.iter().any(|entry| entry.name == *name));
         let own_name = &shared.settings.name;
         let others = self.entries.iter().filter(|entry| entry.name != *own_name).cloned();
         shared.peers.set_entries(others.collect());
@@ -162,12 +184,12 @@
 pub(crate) fn apply_directory(shared: &Arc<SidecarShared>, change: &TopicChange) {
     let mut view = shared.directory.lock().expect("lock not poisoned");
     view.apply(shared, change);
-    let own = view.own_entry(shared);
-    if let Some(left) = own.and_then(|entry| entry.left.clone()) {
-        restore_left(shared, left);
+    if let Some(left) = view.left_at(&shared.settings.name) {
+        restore_left(shared, left.clone());
     }
-    shared.quota.record_listed(own.is_some());
-    shared.listed.send_replace(own.is_some());
+    let is_listed = view.own_entry(shared).is_some();
+    shared.quota.record_listed(is_listed);
+    shared.listed.send_replace(is_listed);
     view.publish(shared);
 }
 
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -332,6 +332,17 @@
         self.notice_memory.lock().expect("lock not poisoned").notice(instance)
     }
 
+    /// What to tell a daemon that this one has linked to about the backend server beside it: what its
+    /// last answer said, or that it left.
+    pub(crate) fn notice_for(&self, peer: &PeerEntry) -> Option<KnownNotice> {
+        let left = || {
+            let view = self.directory.lock().expect("lock not poisoned");
+            let incarnation = view.left_at(&peer.name)?.clone();
+            Some(KnownNotice { incarnation, limit: None, is_leaving: true })
+        };
+        self.notice_of(peer.key).or_else(left)
+    }
+
     /// Remembers what the answer of an instance said of its backend server.
     pub(crate) fn remember_notice(&self, instance: u64, heard: Option<KnownNotice>) {
         let now = self.clock.now();
