Versions order the configuration, whatever the store's copy holds

A key that was withdrawn worked again: a daemon that started between the return of the store and the operator's rewrite read the copy, or a peer's records of it, and took it for the newest configuration (request_withdrawn_key_after_restore: 200 instead of 401 or 503).

Cause: the reading order stood for the order of the contents. Daemons passed on what stood last in the store, with a proof that held only for the store.

Now the configuration is a register ordered by the operator's version: a daemon offers the highest version that it knows, a report proves freshness by version, and the position only tells where to read on. A read in an era that nobody has vouched for proves nothing for half a second, unless a record that was written in it arrives. The first readers of the groups record in their directory entry which version they knew when the era began; a read of the store that lacks it proves nothing, so that a daemon asks the others until it has it. One to a few writes an era, none in steady state. Reads that prove nothing are repeated at the intervals of failed ones.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod read_schedule;
 pub mod request_pacer;
 pub mod request_rank;
+pub mod restore_hold;
 pub mod retry_allowance;
 pub mod root_admission;
 pub mod route_success;
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,15 +45,15 @@
     AskRecords {
         /// Echoed in the answer.
         number: u64,
-        /// The position up to which the sender knows the configuration.
-        configuration: Option<StorePosition>,
+        /// The version of the configuration that the sender knows.
+        version: u64,
         /// The position up to which the sender knows the directory.
         directory: Option<StorePosition>,
     },
     /// The sender's records; without a number when they changed since it was last asked.
     Records {
         number: Option<u64>,
-        configuration: Option<TopicReport>,
+        configuration: Option<ConfigReport>,
         directory: Option<TopicReport>,
     },
     /// Transfers tokens to the receiver.
@@ -95,6 +95,19 @@
     pub(crate) notice: Option<KnownNotice>,
 }
 
+/// What the sender knows of the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ConfigReport {
+    /// The newest version that it knows; 0 if none.
+    pub(crate) version: u64,
+    /// The position up to which it knows that no other version was written.
+    pub(crate) position: Option<StorePosition>,
+    /// No higher version was acknowledged longer ago than this; `None` without proof.
+    pub(crate) age_millis: Option<u32>,
+    /// The record of the version, if the receiver lacks it.
+    pub(crate) record: Option<Bytes>,
+}
+
 /// What the sender knows of a topic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TopicReport {
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -82,7 +82,7 @@
         let view = &shared.store_view;
         self.send(PeerMessage::AskRecords {
             number,
-            configuration: view.configuration.cursor(),
+            version: view.configuration.version(),
             directory: view.directory.cursor(),
         });
     }
@@ -197,8 +197,8 @@
         PeerMessage::Records { number, configuration, directory } => {
             shared.merge_reports(link.requested_at(number), configuration, directory);
         }
-        PeerMessage::AskRecords { number, configuration, directory } => {
-            link.send(shared.store_reports(Some(number), configuration, directory));
+        PeerMessage::AskRecords { number, version, directory } => {
+            link.send(shared.store_reports(Some(number), version, directory));
         }
         PeerMessage::Hello { .. } => {
             if let Some(notice) = shared.notice_for(peer) {
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -52,7 +52,7 @@
 #[derive(Default)]
 struct RecordFollower {
     asked: Option<MilliTime>,
-    configuration: Option<StorePosition>,
+    version: u64,
     directory: Option<StorePosition>,
 }
 
@@ -61,17 +61,17 @@
         self.asked = Some(now);
     }
 
-    /// The answer to a follower that knows the topics up to these positions.
+    /// The answer to a follower that knows this version and the directory up to this position.
     fn reports(
         &mut self,
         shared: &SidecarShared,
         number: Option<u64>,
-        configuration: Option<StorePosition>,
+        version: u64,
         directory: Option<StorePosition>,
     ) -> PeerMessage {
-        self.configuration = shared.store_view.configuration.cursor().max(configuration);
+        self.version = shared.store_view.configuration.version().max(version);
         self.directory = shared.store_view.directory.cursor().max(directory);
-        shared.store_reports(number, configuration, directory)
+        shared.store_reports(number, version, directory)
     }
 
     /// The records that changed since the last message, if the daemon asked for any lately.
@@ -79,9 +79,9 @@
         let now = shared.clock.now();
         self.asked.filter(|asked| now.since(*asked) < FOLLOWER_SPAN)?;
         let view = &shared.store_view;
-        let has_news = view.configuration.cursor() > self.configuration
-            || view.directory.cursor() > self.directory;
-        has_news.then(|| self.reports(shared, None, self.configuration, self.directory))
+        let has_news =
+            view.configuration.version() > self.version || view.directory.cursor() > self.directory;
+        has_news.then(|| self.reports(shared, None, self.version, self.directory))
     }
 }
 
@@ -141,9 +141,9 @@
                             return LinkError::Closed;
                         }
                     }
-                    PeerMessage::AskRecords { number, configuration, directory } => {
+                    PeerMessage::AskRecords { number, version, directory } => {
                         follower.ask(shared.clock.now());
-                        let reports = follower.reports(shared, Some(number), configuration, directory);
+                        let reports = follower.reports(shared, Some(number), version, directory);
                         if sender.send(reports).is_err() {
                             return LinkError::Closed;
                         }
@@ -184,7 +184,7 @@
                     start_request = Some(shared.clock.now());
                     let ask = PeerMessage::AskRecords {
                         number: START_REQUEST,
-                        configuration: shared.store_view.configuration.cursor(),
+                        version: shared.store_view.configuration.version(),
                         directory: shared.store_view.directory.cursor(),
                     };
                     if sender.send(ask).is_err() {
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -30,6 +30,8 @@
 const CARRIED_SPAN: Duration = Duration::from_secs(10);
 /// Daemons that write their records again do so within this time.
 const REWRITE_SPAN: Duration = Duration::from_millis(500);
+/// Daemons that record the version that they know do so within this time, so that one is enough.
+const KNOWN_VERSION_SPAN: Duration = Duration::from_millis(200);
 /// Time between checks whether other links are needed.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -44,6 +46,24 @@
     /// The last backend server there that left; the daemon restores it after a restart.
     #[serde(default)]
     pub(crate) left: Option<BackendIncarnation>,
+    /// The configuration that it knew of when it wrote the record.
+    #[serde(default)]
+    pub(crate) known: Option<KnownVersion>,
+}
+
+/// A version of the configuration that was acknowledged before or in an era of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KnownVersion {
+    pub(crate) era: StoreEra,
+    pub(crate) version: u64,
+}
+
+impl DirectoryEntry {
+    /// Whether both say the same about the daemon.
+    fn describes_same(&self, other: &DirectoryEntry) -> bool {
+        let known = self.known;
+        *self == DirectoryEntry { known, ..other.clone() }
+    }
 }
 
 #[derive(Serialize)]
@@ -236,7 +256,8 @@
 /// The era of the known directory, if it has this daemon's record.
 fn registered_era(shared: &SidecarShared) -> Option<StoreEra> {
     let view = shared.directory.lock().expect("lock not poisoned");
-    let is_registered = view.own_entry(shared) == Some(&shared.own_entry())
+    let own = view.own_entry(shared);
+    let is_registered = own.is_some_and(|own| own.describes_same(&shared.own_entry()))
         && !view.carried.contains_key(&shared.settings.name);
     is_registered.then_some(view.era)
 }
@@ -261,6 +282,46 @@
     }
 }
 
+/// The highest version that daemons have recorded in `era`; `None` if none did although there are
+/// any. A copy of the store may lack it.
+pub(crate) fn known_version(shared: &SidecarShared, era: StoreEra) -> Option<u64> {
+    let view = shared.directory.lock().expect("lock not poisoned");
+    if view.era != era {
+        return None;
+    }
+    let known = view.entries.iter().filter_map(|entry| entry.known);
+    let versions = known.filter(|known| known.era == era).map(|known| known.version);
+    versions.max().or(view.entries.is_empty().then_some(0))
+}
+
+/// Records in each era of the store which version of the configuration was known when it began, for
+/// daemons that start before the operator has written it again. Those that read the store for their
+/// group do so, unless another one has. Runs until the task is aborted.
+pub(crate) async fn record_known_versions(shared: Arc<SidecarShared>) {
+    let mut changes = shared.store_view.subscribe();
+    loop {
+        // The sender lives as long as `shared`.
+        let _ = changes.changed().await;
+        let Some(era) = shared.store_view.witnessed_era() else {
+            continue;
+        };
+        let is_recorded = || {
+            let first_version = shared.store_view.configuration.first_version(era);
+            known_version(&shared, era).is_some_and(|version| version >= first_version)
+        };
+        if shared.peers.reader_rank().before > 0 || is_recorded() {
+            continue;
+        }
+        sleep(spread_by_key(shared.own_key, KNOWN_VERSION_SPAN)).await;
+        if is_recorded() {
+            continue;
+        }
+        if let Err(error) = write_own_entry(&shared, &shared.own_entry()).await {
+            shared.store_failed("known-version", &error);
+        }
+    }
+}
+
 /// Writes this daemon's record; returns the era of the store that acknowledged it.
 pub(crate) async fn write_own_entry(
     shared: &SidecarShared,
--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -59,6 +59,12 @@
         /// Its era.
         era: StoreEra,
     },
+    /// The answer is of an earlier era than one before it.
+    #[snafu(display("the store answered from era {}, which is past", era.0))]
+    Outdated {
+        /// The era of the answer.
+        era: StoreEra,
+    },
     /// The records after the position are no longer retained.
     #[snafu(display("the store no longer retains the requested records"))]
     Expired,
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -14,7 +14,7 @@
 
 use super::backend_watch::{record_leaves, serve_announcement, watch_backend};
 use super::decision_log::{DecisionLog, LineCategory};
-use super::directory::{maintain_links, register_daemon, remove_own_entry};
+use super::directory::{maintain_links, record_known_versions, register_daemon, remove_own_entry};
 use super::keyed_store::{KeyedStore, StoreTopic};
 use super::quota_table::exchange_tokens;
 use super::settings::SidecarSettings;
@@ -92,6 +92,7 @@
             tokio::spawn(follow_topic(shared.clone(), StoreTopic::Configuration)),
             tokio::spawn(follow_topic(shared.clone(), StoreTopic::Directory)),
             tokio::spawn(register_daemon(shared.clone())),
+            tokio::spawn(record_known_versions(shared.clone())),
             tokio::spawn(maintain_links(shared.clone())),
             tokio::spawn(watch_backend(shared.clone())),
             tokio::spawn(pace_backend(shared.clone())),
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -13,7 +13,9 @@
 use super::backend_watch::BackendWatch;
 use super::body_budget::{BodyBudget, UsualSize};
 use super::decision_log::{DecisionLog, LineCategory};
-use super::directory::{DirectoryEntry, DirectoryView, apply_directory};
+use super::directory::{
+    DirectoryEntry, DirectoryView, KnownVersion, apply_directory, known_version,
+};
 use super::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
 use super::notice_watch::{NoticeWatch, observe_notice};
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
@@ -27,15 +29,16 @@
 use crate::policy::backend_notice::{KnownNotice, NoticeMemory};
 use crate::policy::caller_retry::RetryDetector;
 use crate::policy::placement::InstanceLoad;
+use crate::policy::restore_hold::EraEvidence;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::route_success::RouteSuccess;
 use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
 use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
-use crate::sidecar::connection::frame::{PeerMessage, TopicReport};
+use crate::sidecar::connection::frame::{ConfigReport, PeerMessage, TopicReport};
 use crate::sidecar::request::context::CallOutcome;
-use crate::sidecar::version::config_watch::apply_config_records;
+use crate::sidecar::version::config_watch::{has_config, merge_config_read, merge_config_report};
 use crate::sidecar::version::fleet_config::FleetConfig;
 
 /// Safety margin of the withdrawal bound, for clocks with millisecond resolution and late timers.
@@ -96,11 +99,12 @@
     era: StoreEra,
     /// The position that was known before.
     known: Option<StorePosition>,
+    /// Whether reads prove the state from now on.
+    is_trusted: bool,
 }
 
 #[derive(Serialize)]
 struct ReportBehindLine {
-    topic: StoreTopic,
     known: StorePosition,
     cursor: StorePosition,
     age_ms: Option<u32>,
@@ -191,7 +195,7 @@
 
     /// The age of the configuration's freshness proof.
     pub(crate) fn proof_age(&self) -> Option<Duration> {
-        self.store_view.config_age()
+        self.store_view.age(StoreTopic::Configuration)
     }
 
     /// Whether the configuration is fresh enough to accept its keys within the withdrawal bound.
@@ -208,18 +212,31 @@
             && self.store_view.configuration.is_fresh(self.clock.now(), bound)
     }
 
-    /// Merges a read of the store and applies what changed.
+    /// Merges a read of the store and applies what changed; whether it proves the state, as of
+    /// `proven`.
     pub(crate) fn merge_read(
         self: &Arc<Self>,
         topic: StoreTopic,
         from: Option<StorePosition>,
         read: StoreRead,
         proven: MilliTime,
-    ) {
-        self.observe_era(topic, read.cursor.era);
-        let view = self.store_view.topic(topic);
-        view.merge_read(from, read, proven, |change| self.apply_change(topic, &change));
+    ) -> bool {
+        let era = read.cursor.era;
+        let is_proof = match topic {
+            StoreTopic::Configuration => {
+                let is_rewrite = from.is_some() && has_config(self, &read.records);
+                let proven = self.observe_era(topic, era, proven, is_rewrite).then_some(proven);
+                merge_config_read(self, read, proven)
+            }
+            StoreTopic::Directory => {
+                let apply = |change| self.apply_directory_change(&change);
+                let is_proof = self.store_view.directory.merge_read(from, read, proven, apply);
+                self.observe_era(topic, era, proven, false);
+                is_proof
+            }
+        };
         self.note_directory_read();
+        is_proof
     }
 
     /// Merges the reports of another daemon; `requested` is the time of the request that they
@@ -227,28 +244,24 @@
     pub(crate) fn merge_reports(
         self: &Arc<Self>,
         requested: Option<MilliTime>,
-        configuration: Option<TopicReport>,
+        configuration: Option<ConfigReport>,
         directory: Option<TopicReport>,
     ) {
-        let reports =
-            [(StoreTopic::Configuration, configuration), (StoreTopic::Directory, directory)];
-        for (topic, report) in reports {
-            if let Some(report) = report {
-                self.log_report_behind(topic, &report);
-                let view = self.store_view.topic(topic);
-                view.merge_report(requested, report, |change| self.apply_change(topic, &change));
-            }
+        if let Some(report) = configuration {
+            merge_config_report(self, requested, &report);
+        }
+        if let Some(report) = directory {
+            self.log_report_behind(&report);
+            let apply = |change| self.apply_directory_change(&change);
+            self.store_view.directory.merge_report(requested, report, apply);
         }
         self.note_directory_read();
     }
 
-    /// Applies changed records: the only place that does, so that records from the store and from
-    /// other daemons pass the same checks.
-    fn apply_change(self: &Arc<Self>, topic: StoreTopic, change: &TopicChange) {
-        match topic {
-            StoreTopic::Configuration => apply_config_records(self, change),
-            StoreTopic::Directory => apply_directory(self, change),
-        }
+    /// Applies changed records of the directory: the only place that does, so that records from the
+    /// store and from other daemons pass the same checks.
+    fn apply_directory_change(self: &Arc<Self>, change: &TopicChange) {
+        apply_directory(self, change);
         self.store_view.notify_change();
     }
 
@@ -292,29 +305,31 @@
         age.is_some_and(|age| age <= now.since(self.started))
     }
 
-    /// The records of both topics for a daemon that knows them up to these positions.
+    /// The records for a daemon that knows this version and the directory up to this position.
     pub(crate) fn store_reports(
         &self,
         number: Option<u64>,
-        configuration: Option<StorePosition>,
+        version: u64,
         directory: Option<StorePosition>,
     ) -> PeerMessage {
         let now = self.clock.now();
         PeerMessage::Records {
             number,
-            configuration: self.store_view.configuration.report(now, configuration),
+            configuration: self.store_view.configuration.report(now, version),
             directory: self.store_view.directory.report(now, directory),
         }
     }
 
     /// The directory record of this daemon.
     pub(crate) fn own_entry(&self) -> DirectoryEntry {
+        let version = self.config_version();
         DirectoryEntry {
             name: self.settings.name.clone(),
             address: self.settings.peer_listen,
             service: self.settings.service.clone(),
             availability_zone: self.settings.availability_zone.clone(),
             left: self.backend_watch.left(),
+            known: self.store_view.witnessed_era().map(|era| KnownVersion { era, version }),
         }
     }
 
@@ -395,22 +410,35 @@
         self.log.write(LineCategory::Change, event, &line);
     }
 
-    /// Records the era of an answer of the store, and logs it if it is a new one.
-    pub(crate) fn observe_era(&self, topic: StoreTopic, era: StoreEra) {
-        if self.store_view.observe_era(era) {
+    /// Records the era of a read of the store, and logs it if it is a new one; whether the read
+    /// proves the state as of `proven`.
+    fn observe_era(
+        &self,
+        topic: StoreTopic,
+        era: StoreEra,
+        proven: MilliTime,
+        has_rewrite: bool,
+    ) -> bool {
+        let is_confirmed = known_version(self, era).is_some();
+        let evidence = EraEvidence { is_confirmed, has_rewrite };
+        let mut hold = self.store_view.hold.lock().expect("lock not poisoned");
+        let is_new = hold.newest_era().is_none_or(|newest| era > newest);
+        let is_proof = hold.observe(proven, era, evidence);
+        drop(hold);
+        if is_new {
             self.metrics.store_era.set(era.0.try_into().unwrap_or(i64::MAX));
-            let known = self.store_view.topic(topic).cursor();
-            let line = EraLine { topic, era, known };
+            let known = self.store_view.position(topic);
+            let line = EraLine { topic, era, known, is_trusted: is_proof };
             self.log.write(LineCategory::Change, "store-era", &line);
         }
+        is_proof
     }
 
-    /// Logs that another daemon knows less of a topic than this one.
-    fn log_report_behind(&self, topic: StoreTopic, report: &TopicReport) {
-        let known = self.store_view.topic(topic).cursor().unwrap_or_default();
-        if report.cursor < known {
-            let line =
-                ReportBehindLine { topic, known, cursor: report.cursor, age_ms: report.age_millis };
+    /// Logs that another daemon knows the directory of an earlier era.
+    fn log_report_behind(&self, report: &TopicReport) {
+        let known = self.store_view.directory.cursor().unwrap_or_default();
+        if report.cursor.era < known.era {
+            let line = ReportBehindLine { known, cursor: report.cursor, age_ms: report.age_millis };
             self.log.write(LineCategory::Change, "report-behind", &line);
         }
     }
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -92,8 +92,11 @@
         if rank.has_reader {
             self.unled_since = now;
         }
-        let view = self.shared.store_view.topic(self.topic);
-        let age = view.age(now).unwrap_or_else(|| now.since(self.shared.started));
+        let age = self
+            .shared
+            .store_view
+            .age(self.topic)
+            .unwrap_or_else(|| now.since(self.shared.started));
         match self.schedule.next_step(age, rank, now.since(self.unled_since)) {
             ReadStep::Read { wait } if now >= self.retry_at => {
                 // After a failure, a read that does not wait proves the state soonest.
@@ -138,18 +141,32 @@
     /// answered.
     async fn read(&mut self, wait: Duration) -> bool {
         let requested = self.shared.clock.now();
-        let from = self.shared.store_view.topic(self.topic).cursor();
+        let view = &self.shared.store_view;
+        let from = view.position(self.topic);
+        let wait = match self.topic {
+            // A read that proves nothing yet waits for what is to be written again.
+            StoreTopic::Configuration => wait.max(view.hold_remaining()),
+            StoreTopic::Directory => wait,
+        };
         let store = &self.shared.store;
         let read = match from {
             Some(cursor) => store.changes(self.topic, cursor, wait).await,
             None => store.snapshot(self.topic).await,
         };
         match read {
+            Ok(read) if view.newest_era().is_some_and(|newest| read.cursor.era < newest) => {
+                self.record_failure(&StoreError::Outdated { era: read.cursor.era });
+                false
+            }
             Ok(read) => {
-                self.failures = 0;
                 let proven = proven_at(requested, from.is_some() && read.records.is_empty(), wait);
-                self.shared.merge_read(self.topic, from, read, proven);
+                let is_proof = self.shared.merge_read(self.topic, from, read, proven);
                 self.shared.store_answered(topic_name(self.topic));
+                if is_proof {
+                    self.failures = 0;
+                } else {
+                    self.retry_later();
+                }
                 true
             }
             Err(error) => {
@@ -159,23 +176,27 @@
         }
     }
 
+    fn retry_later(&mut self) {
+        self.failures += 1;
+        let rank = self.shared.peers.reader_rank();
+        let delay = read_retry_delay(self.failures, rank, rand::random::<f64>());
+        self.retry_at = self.shared.clock.now() + delay;
+    }
+
     fn record_failure(&mut self, error: &StoreError) {
-        let view = self.shared.store_view.topic(self.topic);
-        match error {
-            StoreError::Restored { era } => {
-                self.shared.observe_era(self.topic, *era);
-                view.clear_cursor();
-                return;
-            }
-            StoreError::Expired => view.clear_cursor(),
-            _ => {
-                self.failures += 1;
-                let rank = self.shared.peers.reader_rank();
-                let delay = read_retry_delay(self.failures, rank, rand::random::<f64>());
-                self.retry_at = self.shared.clock.now() + delay;
-            }
+        let needs_snapshot = matches!(error, StoreError::Expired | StoreError::Restored { .. });
+        if needs_snapshot {
+            self.shared.store_view.clear_position(self.topic);
+        }
+        if needs_snapshot && self.failures == 0 {
+            self.failures = 1;
+        } else {
+            self.retry_later();
+        }
+        // The snapshot that follows tells of the era.
+        if !matches!(error, StoreError::Restored { .. }) {
+            self.shared.store_failed(topic_name(self.topic), error);
         }
-        self.shared.store_failed(topic_name(self.topic), error);
     }
 }
 
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -5,10 +5,12 @@
 
 use tokio::sync::watch;
 
+use super::config_copy::ConfigCopy;
 use super::keyed_store::{StoreRead, StoreTopic};
 use super::topic_replica::{TopicChange, TopicReplica};
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::freshness::FreshnessProof;
+use crate::policy::restore_hold::RestoreHold;
 use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::sidecar::connection::frame::TopicReport;
 
@@ -47,15 +49,16 @@
         self.lock().freshness.is_fresh(now, bound)
     }
 
-    /// Merges a read of the store that proves the state as of `proven`; `apply` receives what
-    /// changed. `from` is the position that was read from, `None` for a snapshot.
+    /// Merges a read of the store that proves the state as of `proven`, unless it was answered before
+    /// the store came back from a copy; returns whether it does. `apply` receives what changed.
+    /// `from` is the position that was read from, `None` for a snapshot.
     pub(crate) fn merge_read(
         &self,
         from: Option<StorePosition>,
         read: StoreRead,
         proven: MilliTime,
         apply: impl FnOnce(TopicChange),
-    ) {
+    ) -> bool {
         let _order = self.apply_order.lock().expect("lock not poisoned");
         let cursor = read.cursor;
         let change = self.lock().replica.apply_read(from, read);
@@ -63,11 +66,12 @@
             apply(change);
         }
         let mut state = self.lock();
-        // Whatever was written before that time lies before the position now held, unless the read
-        // was answered before the store came back from a copy.
-        if state.replica.cursor().is_some_and(|known| known.covers(cursor)) {
+        // Whatever was written before that time lies before the position now held.
+        let is_proof = state.replica.cursor().is_some_and(|known| known.covers(cursor));
+        if is_proof {
             state.freshness.prove(proven);
         }
+        is_proof
     }
 
     /// Merges the report of another daemon, which answers a request made at `requested` if it is
@@ -112,46 +116,63 @@
 #[derive(Debug)]
 pub(crate) struct StoreView {
     clock: MilliClock,
-    pub(crate) configuration: TopicView,
+    pub(crate) configuration: ConfigCopy,
     pub(crate) directory: TopicView,
     /// Incremented when records changed.
     changed: watch::Sender<u64>,
-    /// The newest era that the store has stated.
-    era: Mutex<Option<StoreEra>>,
+    /// Which reads of the store prove its state.
+    pub(crate) hold: Mutex<RestoreHold>,
 }
 
 impl StoreView {
     pub(crate) fn new(clock: MilliClock) -> Self {
         StoreView {
             clock,
-            configuration: TopicView::default(),
+            configuration: ConfigCopy::default(),
             directory: TopicView::default(),
             changed: watch::Sender::new(0),
-            era: Mutex::default(),
+            hold: Mutex::default(),
         }
     }
 
-    /// The copy of a topic.
-    pub(crate) fn topic(&self, topic: StoreTopic) -> &TopicView {
+    /// The position up to which a topic was read.
+    pub(crate) fn position(&self, topic: StoreTopic) -> Option<StorePosition> {
         match topic {
-            StoreTopic::Configuration => &self.configuration,
-            StoreTopic::Directory => &self.directory,
+            StoreTopic::Configuration => self.configuration.position(),
+            StoreTopic::Directory => self.directory.cursor(),
         }
     }
 
-    /// The age of the configuration's freshness proof.
-    pub(crate) fn config_age(&self) -> Option<Duration> {
-        self.configuration.age(self.clock.now())
+    /// Forgets the position, so that the next read is a snapshot.
+    pub(crate) fn clear_position(&self, topic: StoreTopic) {
+        match topic {
+            StoreTopic::Configuration => self.configuration.clear_position(),
+            StoreTopic::Directory => self.directory.clear_cursor(),
+        }
     }
 
-    /// Records the era of an answer of the store; whether it is a new one.
-    pub(crate) fn observe_era(&self, era: StoreEra) -> bool {
-        let mut newest = self.era.lock().expect("lock not poisoned");
-        let is_new = newest.is_none_or(|newest| era > newest);
-        if is_new {
-            *newest = Some(era);
+    /// The age of a topic's freshness proof.
+    pub(crate) fn age(&self, topic: StoreTopic) -> Option<Duration> {
+        let now = self.clock.now();
+        match topic {
+            StoreTopic::Configuration => self.configuration.age(now),
+            StoreTopic::Directory => self.directory.age(now),
         }
-        is_new
+    }
+
+    /// The newest era, if this daemon can tell others what was known when it began.
+    pub(crate) fn witnessed_era(&self) -> Option<StoreEra> {
+        self.hold.lock().expect("lock not poisoned").witnessed_era(self.clock.now())
+    }
+
+    /// The time until a read of the store proves the state.
+    pub(crate) fn hold_remaining(&self) -> Duration {
+        self.hold.lock().expect("lock not poisoned").remaining(self.clock.now())
+    }
+
+    /// The newest era that the store has stated.
+    pub(crate) fn newest_era(&self) -> Option<StoreEra> {
+        self.hold.lock().expect("lock not poisoned").newest_era()
     }
 
     /// Triggers messages to the daemons that follow this one.
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -9,6 +9,7 @@
 mod model;
 mod placement;
 mod read_schedule;
+mod restore_hold;
 mod retries;
 mod roots;
 mod shed;
