Daemons that have not noticed the store's return do not lead others back

Cause: a reader that learned of the new era dropped its position and asked others, as its proof was stale; one that had not noticed reported its position of the era before, the reader took it over and read from there, was told of the new era, and so on.

Now the copies of both topics enter the era that the store states and ignore positions and records of earlier ones. config_in_force_peers_of_earlier_era, with a reader in each of six availability zones, failed before (503 from all) and passes.

--- a/src/sidecar/process/config_copy.rs
+++ b/src/sidecar/process/config_copy.rs
@@ -47,10 +47,11 @@
         self.position = self.position.max(Some(position));
     }
 
-    fn reach(&mut self, era: StoreEra) {
+    fn enter_era(&mut self, era: StoreEra) {
         if era > self.era {
             self.first_version = self.version();
             self.era = era;
+            self.position = None;
         }
     }
 }
@@ -77,6 +78,11 @@
         self.lock().position = None;
     }
 
+    /// Forgets a position of an earlier era than `era`, and ignores those that others report.
+    pub(crate) fn enter_era(&self, era: StoreEra) {
+        self.lock().enter_era(era);
+    }
+
     /// The age of the freshness proof.
     pub(crate) fn age(&self, now: MilliTime) -> Option<Duration> {
         self.lock().freshness.age(now)
@@ -104,7 +110,7 @@
         apply: impl FnOnce(),
     ) -> bool {
         let mut state = self.lock();
-        state.reach(position.era);
+        state.enter_era(position.era);
         state.offer(found, apply);
         if position.era < state.era {
             return false;
@@ -129,7 +135,7 @@
     ) {
         let mut state = self.lock();
         if let Some(position) = report.position {
-            state.reach(position.era);
+            state.enter_era(position.era);
         }
         state.offer(found, apply);
         if state.version() < report.version {
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -184,10 +184,14 @@
     }
 
     fn record_failure(&mut self, error: &StoreError) {
-        let needs_snapshot = matches!(error, StoreError::Expired | StoreError::Restored { .. });
-        if needs_snapshot {
-            self.shared.store_view.clear_position(self.topic);
+        let view = &self.shared.store_view;
+        let had_position = view.position(self.topic).is_some();
+        match error {
+            StoreError::Expired => view.clear_position(self.topic),
+            StoreError::Restored { era } => view.enter_era(*era),
+            _ => {}
         }
+        let needs_snapshot = had_position && view.position(self.topic).is_none();
         if needs_snapshot && self.failures == 0 {
             self.failures = 1;
         } else {
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -39,6 +39,11 @@
         self.lock().replica.clear_cursor();
     }
 
+    /// Forgets a position of an earlier era than `era`, and ignores records of one.
+    pub(crate) fn enter_era(&self, era: StoreEra) {
+        self.lock().replica.enter_era(era);
+    }
+
     /// The age of the freshness proof.
     pub(crate) fn age(&self, now: MilliTime) -> Option<Duration> {
         self.lock().freshness.age(now)
@@ -151,6 +156,12 @@
         }
     }
 
+    /// Forgets positions of earlier eras than `era`.
+    pub(crate) fn enter_era(&self, era: StoreEra) {
+        self.configuration.enter_era(era);
+        self.directory.enter_era(era);
+    }
+
     /// The age of a topic's freshness proof.
     pub(crate) fn age(&self, topic: StoreTopic) -> Option<Duration> {
         let now = self.clock.now();
--- a/src/sidecar/process/topic_replica.rs
+++ b/src/sidecar/process/topic_replica.rs
@@ -116,6 +116,14 @@
         self.cursor = None;
     }
 
+    /// Forgets a position of an earlier era than `era`, and ignores updates of one from now on.
+    pub fn enter_era(&mut self, era: StoreEra) {
+        if era > self.era {
+            self.era = era;
+            self.cursor = None;
+        }
+    }
+
     fn clear(&mut self, cursor: StorePosition) {
         self.records.clear();
         self.removed = 0;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -336,6 +336,8 @@
 
 /// A store shared by daemons, and a client.
 pub(super) struct TestFleet {
+    /// Whether each daemon is alone in its availability zone.
+    has_zones: bool,
     pub(super) store: Arc<MemoryStore>,
     pub(super) client: Client<HttpConnector, Full<Bytes>>,
     next_id: AtomicUsize,
@@ -388,7 +390,12 @@
         let store = Arc::new(MemoryStore::default());
         store.write(StoreTopic::Configuration, "config", Some(config(1, true)));
         let client = Client::builder(TokioExecutor::new()).build_http();
-        TestFleet { store, client, next_id: AtomicUsize::new(0) }
+        TestFleet { has_zones: false, store, client, next_id: AtomicUsize::new(0) }
+    }
+
+    /// A fleet whose daemons are each alone in an availability zone.
+    pub(super) fn with_zones() -> Self {
+        TestFleet { has_zones: true, ..Self::new() }
     }
 
     /// Starts a daemon with a backend server and sends the first announcement.
@@ -421,7 +428,7 @@
     ) -> TestDaemon {
         let settings = SidecarSettings {
             name: name.into(),
-            availability_zone: "zone".into(),
+            availability_zone: if self.has_zones { name.into() } else { "zone".into() },
             service: service.into(),
             backend_address: backend.address,
             request_listen: free_address(),
--- a/tests/suite/sidecar/restores.rs
+++ b/tests/suite/sidecar/restores.rs
@@ -11,6 +11,8 @@
 
 /// The configuration bound in the test settings.
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
+/// The withdrawal bound in the test settings.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
 /// After this time the links are up and the initial reads are done.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -97,6 +99,26 @@
     expect_that!(withdrawn_statuses(&fleet, &daemons).await, each(eq(&401)));
 }
 
+/// Daemons that have not noticed the return do not lead others back: each one reads the store for an
+/// availability zone of its own.
+#[gtest]
+#[tokio::test]
+async fn config_in_force_peers_of_earlier_era() {
+    let fleet = TestFleet::with_zones();
+    let daemons = start_all(&fleet, &["one", "two", "three", "four", "five", "six"]).await;
+    write_versions(&fleet, 2..=3).await;
+    fleet.store.set_down(true);
+    pass_time(&fleet, &daemons, CONFIG_BOUND).await;
+    fleet.store.restore(1, usize::MAX);
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(3, true)));
+    fleet.store.set_down(false);
+    pass_time(&fleet, &daemons, WITHDRAWAL_BOUND).await;
+    expect_that!(withdrawn_statuses(&fleet, &daemons).await, each(eq(&200)));
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(4, false)));
+    pass_time(&fleet, &daemons, CONFIG_BOUND).await;
+    expect_that!(withdrawn_statuses(&fleet, &daemons).await, each(eq(&401)));
+}
+
 /// A key that was withdrawn stays withdrawn until the operator has written the version again, also
 /// at a daemon that starts meanwhile.
 #[gtest]
