An unknown route is denied only by a configuration that is proven fresh

Keys were refused with 2017 in that state already, routes were not.

Without a recent proof an unknown route is refused with 2017 now, not run and to be sent again.

--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -198,8 +198,9 @@
         self.store_view.age(StoreTopic::Configuration)
     }
 
-    /// Whether the configuration is fresh enough to accept its keys within the withdrawal bound.
-    pub(crate) fn has_fresh_keys(&self) -> bool {
+    /// Whether the configuration is fresh enough for what it says of keys, within the withdrawal
+    /// bound, and of routes.
+    pub(crate) fn has_fresh_config(&self) -> bool {
         let bound = self.settings.withdrawal_bound.saturating_sub(WITHDRAWAL_MARGIN);
         self.store_view.configuration.is_fresh(self.clock.now(), bound)
     }
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -279,8 +279,12 @@
     let names = shared.dialect.headers();
     let host = request_host(request);
     let route = config.route(host, request.uri().path());
-    let route = route.ok_or_else(|| {
-        RequestRefusal::new(ResultCode::RouteUnknown, format!("no matching route for host {host}"))
+    let route = route.ok_or_else(|| match shared.has_fresh_config() {
+        true => {
+            let reason = format!("no matching route for host {host}");
+            RequestRefusal::new(ResultCode::RouteUnknown, reason)
+        }
+        false => stale_refusal(),
     })?;
     trace.route = Some(route.name.clone());
     let caller_timeout: Option<u64> = parse_number(request.headers(), &names.deadline_millis);
@@ -326,6 +330,12 @@
     host.split(':').next().unwrap_or("")
 }
 
+/// The refusal of a request that a newer configuration may decide otherwise.
+fn stale_refusal() -> RequestRefusal {
+    let reason = "no recent freshness proof of the configuration";
+    RequestRefusal::new(ResultCode::StateStale, reason).retry_after(STALE_RETRY_AFTER)
+}
+
 /// Returns the organisation that owns the request's key. Fails without a recent freshness proof,
 /// since a newer configuration may have withdrawn the key.
 fn authenticate(
@@ -333,12 +343,8 @@
     config: &FleetConfig,
     headers: &HeaderMap,
 ) -> Result<Arc<FleetOrganisation>, RequestRefusal> {
-    if !shared.has_fresh_keys() {
-        let refusal = RequestRefusal::new(
-            ResultCode::StateStale,
-            "no recent freshness proof of the configuration",
-        );
-        return Err(refusal.retry_after(STALE_RETRY_AFTER));
+    if !shared.has_fresh_config() {
+        return Err(stale_refusal());
     }
     let names = shared.dialect.headers();
     let header = headers.get(&names.key).and_then(|value| value.to_str().ok());
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -375,14 +375,22 @@
 /// A configuration with or without [`WITHDRAWN_KEY`].
 pub(super) fn config(version: u64, has_second_key: bool) -> Vec<u8> {
     let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
-    json!({"version": version, "resources": [
-        route("read", "safe", "stock", false),
+    config_of(version, &["read"], &keys)
+}
+
+/// A configuration with safe routes of these names and the usual ones.
+pub(super) fn config_with_routes(version: u64, names: &[&str]) -> Vec<u8> {
+    config_of(version, names, &[KEY, WITHDRAWN_KEY])
+}
+
+fn config_of(version: u64, names: &[&str], keys: &[&str]) -> Vec<u8> {
+    let mut resources = vec![
         route("write", "unsafe", "stock", false),
         route("open", "safe", "stock", true),
-        {"entry_kind": "tenants", "metadata": {"name": "nord"}, "spec": {"api_keys": keys}},
-    ]})
-    .to_string()
-    .into_bytes()
+        json!({"entry_kind": "tenants", "metadata": {"name": "nord"}, "spec": {"api_keys": keys}}),
+    ];
+    resources.extend(names.iter().map(|name| route(name, "safe", "stock", false)));
+    json!({"version": version, "resources": resources}).to_string().into_bytes()
 }
 
 impl TestFleet {
--- a/tests/suite/sidecar/restores.rs
+++ b/tests/suite/sidecar/restores.rs
@@ -7,7 +7,9 @@
 use lentilway::sidecar::process::keyed_store::StoreTopic;
 use tokio::time::{Instant, sleep};
 
-use super::fleet::{BackendBehaviour, KEY, TestDaemon, TestFleet, WITHDRAWN_KEY, config};
+use super::fleet::{
+    BackendBehaviour, KEY, TestDaemon, TestFleet, WITHDRAWN_KEY, config, config_with_routes,
+};
 
 /// The configuration bound in the test settings.
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
@@ -150,6 +152,31 @@
     }
 }
 
+/// A daemon that starts before the operator has written again does not deny a route that was added.
+#[gtest]
+#[tokio::test]
+async fn route_added_after_restore() {
+    let fleet = TestFleet::new();
+    let mut daemons = start_all(&fleet, &["one", "two"]).await;
+    let added = config_with_routes(2, &["read", "added"]);
+    fleet.store.write(StoreTopic::Configuration, "config", Some(added));
+    for daemon in &daemons {
+        fleet.until(daemon, "/added/1", KEY, 200).await;
+    }
+    fleet.store.restore(1, usize::MAX);
+    for index in 0..daemons.len() {
+        let restarted = fleet.restart(daemons.remove(index)).await;
+        daemons.insert(index, restarted);
+        let started = Instant::now();
+        while started.elapsed() < SETTLE_TIME {
+            let status = fleet.send(&daemons[index], "/added/1", KEY).await.status;
+            expect_that!(status, any![eq(200), eq(503)]);
+            sleep(Duration::from_millis(5)).await;
+        }
+        fleet.until(&daemons[index], "/added/1", KEY, 200).await;
+    }
+}
+
 /// Daemons whose records were lost write them again, and are in use meanwhile.
 #[gtest]
 #[tokio::test]
