Stand-in of the store comes back from a copy; the soak draws it

The stand-in states its era, drops what is younger than the copy, answers 410 beyond its end and breaks reads that wait. The soak draws such returns apart from the other faults, so that the plans of earlier seeds hold, and has the operator write again a moment later. New check: no daemon denies a route that was added more than the withdrawal bound ago; violations_added_route shows it to report made-up events.

--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -7,6 +7,7 @@
 
 /// Faults per second of the run.
 const FAULTS_PER_SECOND: f64 = 1.2;
+const STORE_RETURN_SEED: u64 = 0x5702_e2a1;
 
 /// A fault of one node or of a shared component; the `usize` is the node's index.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,6 +32,8 @@
     Link(usize, NodeLink, LinkFault),
     /// The store refuses requests, does not answer, is slow or loses answers.
     Store(StoreFault),
+    /// The store comes back from a copy; the operator writes again what it lacks.
+    RestoreStore,
     /// A key of an organisation is withdrawn.
     WithdrawKey,
     /// A route is added.
@@ -110,10 +113,27 @@
             plan.push(PlannedFault { at, duration, fault });
         }
     }
+    plan.extend(draw_store_returns(seed, length, planned_only));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
 
+/// Returns of the store from a copy, in half of the runs with unplanned faults. They are drawn apart
+/// from the other faults, so that the plans of seeds stay as they were.
+fn draw_store_returns(seed: u64, length: Duration, planned_only: bool) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ STORE_RETURN_SEED);
+    let count = random.random_range(0..4_usize).saturating_sub(1);
+    if planned_only {
+        return Vec::new();
+    }
+    let mut draw = || PlannedFault {
+        at: length.mul_f64(random.random_range(0.1..0.8)),
+        duration: Duration::from_millis(random.random_range(100..2_500)),
+        fault: SoakFault::RestoreStore,
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
     let node = random.random_range(0..nodes);
     match random.random_range(0..17) {
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -74,6 +74,8 @@
     leaves: HashMap<String, Instant>,
     /// Withdrawn keys with the time from which the current configuration lacks them.
     withdrawn: HashMap<String, Instant>,
+    /// When the addition of each route was acknowledged.
+    added: HashMap<&'static str, Instant>,
     /// Start and end of each unplanned fault.
     faults: Vec<(Instant, Instant)>,
     /// Index of each daemon that was signalled to stop, and when.
@@ -142,6 +144,11 @@
         self.lock().withdrawn.insert(key.to_owned(), Instant::now());
     }
 
+    /// Records that the addition of a route was acknowledged.
+    pub fn record_added(&self, route: &'static str) {
+        self.lock().added.entry(route).or_insert_with(Instant::now);
+    }
+
     /// Records an unplanned fault that began at `from` and ends now.
     pub fn record_fault(&self, from: Instant) {
         self.lock().faults.push((from, Instant::now()));
@@ -202,6 +209,7 @@
         state.check_rates(rates, &mut violations);
         state.check_retries(&mut violations);
         state.check_versions(&mut violations);
+        state.check_added_routes(&mut violations);
         state.check_limits(&mut violations);
         state.check_told_leaves(&mut violations);
         violations
@@ -385,6 +393,17 @@
         interruptions.map(|(_, interrupted)| *interrupted).filter(|when| *when <= at).max()
     }
 
+    /// No daemon denies a route that was added: after the withdrawal bound it refuses what it cannot
+    /// prove.
+    fn check_added_routes(&self, violations: &mut Vec<String>) {
+        for (id, request) in self.sent.iter().filter(|(_, sent)| sent.status() == Some(404)) {
+            let added = self.added.get(request.route);
+            if added.is_some_and(|at| request.at > *at + WITHDRAWAL_TIMEOUT) {
+                violations.push(format!("an added route is denied: {id} {request:?}"));
+            }
+        }
+    }
+
     /// A daemon that has served a route must not answer 404 for it later: it never returns to an
     /// older configuration.
     fn check_versions(&self, violations: &mut Vec<String>) {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -48,6 +48,10 @@
 const LINK_DELAY: Duration = Duration::from_millis(300);
 const STORE_DELAY: Duration = Duration::from_millis(200);
 const LOST_ANSWER_FRACTION: f64 = 0.5;
+/// Age of the copy that the store comes back from, in times of its absence.
+const COPY_AGE_FACTOR: u32 = 3;
+/// Part of its absence after which the operator writes its version again.
+const REWRITE_DELAY_DIVISOR: u32 = 5;
 /// Limits stated by upstreams reach from 0 to about the usual load.
 const LIMIT_PER_SECOND_OF_FAULT: f64 = 8.0;
 
@@ -104,6 +108,8 @@
     version: u64,
     withdrawn: usize,
     added: usize,
+    /// The newest version as written.
+    record: serde_json::Value,
 }
 
 /// Runs one soak.
@@ -190,7 +196,20 @@
                     .collect(),
                 rate,
             });
-        self.store.write_config(&config_record(config.version, &routes, &tenants));
+        config.record = config_record(config.version, &routes, &tenants);
+        self.store.write_config(&config.record);
+    }
+
+    /// Has the store come back, after a silence of `duration`, from a copy that lacks the last
+    /// seconds. The operator writes its version again a moment later.
+    async fn restore_store(&self, duration: Duration) {
+        self.store.set_mode(StoreMode::Silent);
+        sleep(duration).await;
+        self.store.restore(duration * COPY_AGE_FACTOR);
+        self.store.set_mode(StoreMode::Healthy);
+        sleep(duration / REWRITE_DELAY_DIVISOR).await;
+        let config = self.config.lock().await;
+        self.store.write_config(&config.record);
     }
 
     async fn start_callers(
@@ -286,6 +305,7 @@
                 sleep(planned.duration).await;
                 self.store.set_mode(StoreMode::Healthy);
             }
+            SoakFault::RestoreStore => self.restore_store(planned.duration).await,
             SoakFault::WithdrawKey => {
                 self.write_config(|config| {
                     config.withdrawn = (config.withdrawn + 1).min(WITHDRAWN_KEYS.len());
@@ -300,6 +320,7 @@
                 })
                 .await;
                 let added = self.config.lock().await.added;
+                self.history.record_added(ADDED_ROUTES[added - 1]);
                 self.routes.send_modify(|routes| {
                     let name = ADDED_ROUTES[added - 1];
                     if routes.iter().all(|route| route.name != name) {
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 /// The topic in which daemons discover each other.
 const DIRECTORY_TOPIC: &str = "keyed.daemons";
 const LENGTH_PREFIX_BYTES: usize = 4;
+/// Header that rises by one each time the store comes back from a copy.
+const ERA: &str = "store-era";
 
 /// The fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -42,9 +45,17 @@
 
 type KeyedRecord = (String, Bytes);
 
+#[derive(Debug)]
+struct StoredRecord {
+    record: KeyedRecord,
+    written: Instant,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
-    topics: Mutex<HashMap<String, Vec<KeyedRecord>>>,
+    topics: Mutex<HashMap<String, Vec<StoredRecord>>>,
+    /// How often the store came back from a copy.
+    restores: AtomicU64,
     mode: Mutex<StoreMode>,
     links: Mutex<HashMap<String, SocketAddr>>,
     appended: Notify,
@@ -87,6 +98,18 @@
         self.state.append(OPERATOR_TOPIC, vec![(CONFIG_KEY.to_owned(), value)]);
     }
 
+    /// Comes back from a copy that was taken `age` ago: what was written since is gone, and offsets
+    /// are assigned again. The operator's records are to be written again by the caller.
+    pub fn restore(&self, age: Duration) {
+        let mut topics = self.state.topics.lock().expect("lock not poisoned");
+        for records in topics.values_mut() {
+            records.retain(|stored| stored.written.elapsed() >= age);
+        }
+        self.state.restores.fetch_add(1, Ordering::SeqCst);
+        drop(topics);
+        self.state.appended.notify_waiters();
+    }
+
     /// Advertises `link` to other daemons as the address of the daemon `name`.
     pub fn advertise_link(&self, name: &str, link: SocketAddr) {
         self.state.links.lock().expect("lock not poisoned").insert(name.to_owned(), link);
@@ -98,7 +121,8 @@
         let mut topics = self.topics.lock().expect("lock not poisoned");
         let stored = topics.entry(topic.to_owned()).or_default();
         let offset = stored.len();
-        stored.extend(records);
+        let written = Instant::now();
+        stored.extend(records.into_iter().map(|record| StoredRecord { record, written }));
         drop(topics);
         self.appended.notify_waiters();
         offset
@@ -119,7 +143,8 @@
         let topics = self.topics.lock().expect("lock not poisoned");
         let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
         let mut newest = BTreeMap::new();
-        for (offset, (key, value)) in records.iter().enumerate() {
+        for (offset, stored) in records.iter().enumerate() {
+            let (key, value) = &stored.record;
             newest.insert(key, (offset, value));
         }
         let present = newest.into_iter().filter(|(_, (_, value))| !value.is_empty());
@@ -131,24 +156,43 @@
         json!({"items": items, "has_more": false, "end_offset": records.len()})
     }
 
-    /// Encodes the end offset, the first offset and the records from `from`; false without records.
-    fn read(&self, topic: &str, from: usize) -> (Vec<u8>, bool) {
+    /// Encodes the end offset, the first offset and the records from `from`, and whether there are
+    /// any; `None` if the topic ends before `from`.
+    fn read(&self, topic: &str, from: usize) -> Option<(Vec<u8>, bool)> {
         let topics = self.topics.lock().expect("lock not poisoned");
         let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
+        let rest = records.get(from..)?;
         let mut body = (records.len() as u64).to_be_bytes().to_vec();
         body.extend_from_slice(&0_u64.to_be_bytes());
-        for (key, value) in records.iter().skip(from) {
+        for stored in rest {
+            let (key, value) = &stored.record;
             let length = (1 + key.len() + value.len()) as u32;
             body.extend_from_slice(&length.to_be_bytes());
             body.push(key.len() as u8);
             body.extend_from_slice(key.as_bytes());
             body.extend_from_slice(value);
         }
-        (body, records.len() > from)
+        Some((body, !rest.is_empty()))
+    }
+
+    fn era(&self) -> u64 {
+        1 + self.restores.load(Ordering::SeqCst)
     }
 }
 
 async fn handle_request(state: Arc<StoreState>, request: ReceivedRequest) -> ServerReply {
+    let era = state.era();
+    match answer_request(&state, request).await {
+        ServerReply::Send(_) if state.era() != era => ServerReply::Reset,
+        ServerReply::Send(mut answer) => {
+            answer.headers_mut().insert(ERA, era.into());
+            ServerReply::Send(answer)
+        }
+        ServerReply::Reset => ServerReply::Reset,
+    }
+}
+
+async fn answer_request(state: &StoreState, request: ReceivedRequest) -> ServerReply {
     let mode = *state.mode.lock().expect("lock not poisoned");
     match mode {
         StoreMode::Busy => return refusal(StatusCode::SERVICE_UNAVAILABLE),
@@ -161,7 +205,7 @@
         ("GET", "/api/log-newest") => {
             ServerReply::Send(json_response(StatusCode::OK, &state.newest(&topic)))
         }
-        ("GET", "/api/log-read") => read(&state, &topic, &request).await,
+        ("GET", "/api/log-read") => read(state, &topic, &request).await,
         ("POST", "/api/log-append") if topic == OPERATOR_TOPIC => refusal(StatusCode::FORBIDDEN),
         ("POST", "/api/log-append") => {
             let Some(mut records) = parse_records(&request.body) else {
@@ -211,9 +255,16 @@
     let from = request.query_number("from").unwrap_or(0) as usize;
     let wait = Duration::from_millis(request.query_number("wait_ms").unwrap_or(0));
     let end = Instant::now() + wait;
+    let era = state.era();
     loop {
         let appended = state.appended.notified();
-        let (body, has_records) = state.read(topic, from);
+        if state.era() != era {
+            return ServerReply::Reset;
+        }
+        let Some((body, has_records)) = state.read(topic, from) else {
+            let first = json!({"first_offset": 0});
+            return ServerReply::Send(json_response(StatusCode::GONE, &first));
+        };
         if has_records || Instant::now() >= end {
             return ServerReply::Send(Response::new(Full::new(body.into())));
         }
--- a/tests/suite/platform.rs
+++ b/tests/suite/platform.rs
@@ -2,3 +2,4 @@
 
 mod boundary;
 mod records;
+mod store;
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -161,6 +161,20 @@
     expect_that!(violations, elements_are![contains_substring("denied")]);
 }
 
+#[gtest]
+fn violations_added_route() {
+    let history = SoakHistory::default();
+    history.record_added("write");
+    for (id, after) in [("request-1", 4), ("request-2", 6)] {
+        let at = Instant::now() + Duration::from_secs(after);
+        history.record_sent(id, SentRequest { at, ..sent() });
+        history.record_outcome(id, answer_with(404));
+    }
+    let violations = history.violations(&HashMap::new());
+    expect_that!(violations, elements_are![contains_substring("an added route is denied")]);
+    expect_that!(violations[0], contains_substring("request-2"));
+}
+
 /// Four daemons with the faults of one seed.
 #[gtest]
 #[tokio::test]
