--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -127,8 +127,8 @@
         return Vec::new();
     }
     let mut draw = || PlannedFault {
-        at: length.mul_f64(random.random_range(0.1..0.8)),
-        duration: Duration::from_millis(random.random_range(100..2_500)),
+        at: length.mul_f64(random.random_range(0.0..0.6)),
+        duration: Duration::from_millis(random.random_range(100..1_500)),
         fault: SoakFault::RestoreStore,
     };
     (0..count).map(|_| draw()).collect()
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -50,6 +50,8 @@
 const LOST_ANSWER_FRACTION: f64 = 0.5;
 /// Age of the copy that the store comes back from, in times of its absence.
 const COPY_AGE_FACTOR: u32 = 3;
+/// Versions that the copy lacks besides one with a change, so that fewer are written afterwards.
+const LOST_VERSIONS: usize = 4;
 /// Part of its absence after which the operator writes its version again.
 const REWRITE_DELAY_DIVISOR: u32 = 5;
 /// Limits stated by upstreams reach from 0 to about the usual load.
@@ -200,16 +202,49 @@
         self.store.write_config(&config.record);
     }
 
-    /// Has the store come back, after a silence of `duration`, from a copy that lacks the last
-    /// seconds. The operator writes its version again a moment later.
+    async fn withdraw_key(&self) {
+        self.write_config(|config| {
+            config.withdrawn = (config.withdrawn + 1).min(WITHDRAWN_KEYS.len());
+        })
+        .await;
+        let withdrawn = self.config.lock().await.withdrawn;
+        self.history.record_withdrawal(WITHDRAWN_KEYS[withdrawn - 1]);
+    }
+
+    async fn add_route(&self) {
+        self.write_config(|config| {
+            config.added = (config.added + 1).min(ADDED_ROUTES.len());
+        })
+        .await;
+        let added = self.config.lock().await.added;
+        self.history.record_added(ADDED_ROUTES[added - 1]);
+        self.routes.send_modify(|routes| {
+            let name = ADDED_ROUTES[added - 1];
+            if routes.iter().all(|route| route.name != name) {
+                routes.push(CallerRoute { name, is_safe: true });
+            }
+        });
+    }
+
+    /// Has the store come back, after a silence of `duration`, from a copy that lacks what was
+    /// written since shortly before. The operator writes its version again a moment later, and then
+    /// goes on.
     async fn restore_store(&self, duration: Duration) {
+        for _ in 0..LOST_VERSIONS {
+            self.write_config(|_| {}).await;
+        }
+        self.add_route().await;
+        sleep(duration).await;
         self.store.set_mode(StoreMode::Silent);
         sleep(duration).await;
         self.store.restore(duration * COPY_AGE_FACTOR);
         self.store.set_mode(StoreMode::Healthy);
         sleep(duration / REWRITE_DELAY_DIVISOR).await;
-        let config = self.config.lock().await;
-        self.store.write_config(&config.record);
+        let record = self.config.lock().await.record.clone();
+        self.store.write_config(&record);
+        sleep(duration / REWRITE_DELAY_DIVISOR).await;
+        self.withdraw_key().await;
+        self.add_route().await;
     }
 
     async fn start_callers(
@@ -306,28 +341,8 @@
                 self.store.set_mode(StoreMode::Healthy);
             }
             SoakFault::RestoreStore => self.restore_store(planned.duration).await,
-            SoakFault::WithdrawKey => {
-                self.write_config(|config| {
-                    config.withdrawn = (config.withdrawn + 1).min(WITHDRAWN_KEYS.len());
-                })
-                .await;
-                let withdrawn = self.config.lock().await.withdrawn;
-                self.history.record_withdrawal(WITHDRAWN_KEYS[withdrawn - 1]);
-            }
-            SoakFault::AddRoute => {
-                self.write_config(|config| {
-                    config.added = (config.added + 1).min(ADDED_ROUTES.len());
-                })
-                .await;
-                let added = self.config.lock().await.added;
-                self.history.record_added(ADDED_ROUTES[added - 1]);
-                self.routes.send_modify(|routes| {
-                    let name = ADDED_ROUTES[added - 1];
-                    if routes.iter().all(|route| route.name != name) {
-                        routes.push(CallerRoute { name, is_safe: true });
-                    }
-                });
-            }
+            SoakFault::WithdrawKey => self.withdraw_key().await,
+            SoakFault::AddRoute => self.add_route().await,
         }
         if !planned.fault.is_planned_operation() {
             self.history.record_fault(started);
