Log which requests ran at a backend server that ended

Requests carry the digest of their contents (caller, service, method, path with query, body); a connection that breaks is followed by an attempt to connect, and refused tells of the end; backend-server-ended names the digests of what ran. No decision uses them yet.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod moving_average;
 pub mod placement;
 pub mod read_schedule;
+pub mod request_identity;
 pub mod request_pacer;
 pub mod request_rank;
 pub mod restore_hold;
--- a/src/policy/run_registry.rs
+++ b/src/policy/run_registry.rs
@@ -85,6 +85,11 @@
         (distance(nearest.deadline) <= DEADLINE_TOLERANCE).then_some(nearest)
     }
 
+    /// The values of all runs in flight.
+    pub fn values(&self) -> impl Iterator<Item = &T> {
+        self.runs.values()
+    }
+
     /// Number of runs in flight.
     pub fn len(&self) -> usize {
         self.runs.len()
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -56,6 +56,9 @@
 
     /// The head of an answer to the request arrived.
     fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap);
+
+    /// The backend server ended while it ran the request.
+    fn observe_end(&self, target: &BackendTarget);
 }
 
 /// Closes a connection when dropped, by aborting its task.
@@ -109,12 +112,40 @@
         runs_once: bool,
         observer: &dyn ExchangeObserver,
     ) -> CallOutcome {
-        let Some(mut outgoing) = self.build_request(target, context, request, remaining) else {
+        let Some(outgoing) = self.build_request(target, context, request, remaining) else {
             return CallOutcome::NotRun {
                 cause: NotRunCause::BackendRefused,
                 capacity_in_millis: 0,
             };
         };
+        match self.send(target, context, outgoing, runs_once, observer).await {
+            CallOutcome::Unknown(UnknownCause::Broken) if self.has_ended(target).await => {
+                CallOutcome::Unknown(UnknownCause::ServerEnded)
+            }
+            outcome => outcome,
+        }
+    }
+
+    /// Whether nothing listens at the backend server's address any more. A connection that opens is
+    /// kept for the next request.
+    async fn has_ended(&self, target: &BackendTarget) -> bool {
+        match self.connect(target.address).await {
+            Ok(connection) => {
+                self.idle.lock().expect("lock not poisoned").push(connection);
+                false
+            }
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        }
+    }
+
+    async fn send(
+        &self,
+        target: &BackendTarget,
+        context: &CallContext,
+        mut outgoing: Request<Full<Bytes>>,
+        runs_once: bool,
+        observer: &dyn ExchangeObserver,
+    ) -> CallOutcome {
         loop {
             let pooled = self.take_idle(target.address, runs_once);
             let is_pooled = pooled.is_some();
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -15,6 +15,7 @@
     WaitTicket,
 };
 use crate::policy::backend_notice::RequestLimit;
+use crate::policy::incarnation::BackendIncarnation;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::retry_allowance::{RetryAllowance, RetryClaim, RetryTerms};
 use crate::policy::root_admission::{CostList, SlotCost, add_cost};
@@ -36,6 +37,7 @@
 pub(crate) struct RunRecord {
     pub(crate) context: CallContext,
     pub(crate) due: MilliTime,
+    started: MilliTime,
     costs: Mutex<CostList>,
     call_failed: AtomicBool,
 }
@@ -77,6 +79,8 @@
     retries: RetryAllowance,
     runs: RunRegistry<Arc<RunRecord>>,
     target: Option<BackendTarget>,
+    /// The last incarnation of the backend server that ended without notice.
+    ended: Option<BackendIncarnation>,
     /// The daemon is stopping: admission is never opened again.
     is_closed: bool,
 }
@@ -165,6 +169,7 @@
             retries: RetryAllowance::new(now, retry_terms),
             runs: RunRegistry::default(),
             target: None,
+            ended: None,
             is_closed: false,
         };
         let changed = watch::Sender::new(0);
@@ -265,6 +270,24 @@
         self.changed.subscribe()
     }
 
+    /// Records that an incarnation of the backend server ended without notice, no later than at
+    /// `noticed`. Returns the requests that ran there, the last ones first, or `None` if it is known.
+    pub(crate) fn record_ended(
+        &self,
+        incarnation: &BackendIncarnation,
+        noticed: MilliTime,
+    ) -> Option<Vec<Arc<RunRecord>>> {
+        let mut state = self.lock();
+        if state.ended.as_ref() == Some(incarnation) {
+            return None;
+        }
+        state.ended = Some(incarnation.clone());
+        let running = state.runs.values().filter(|record| record.started <= noticed);
+        let mut running: Vec<Arc<RunRecord>> = running.cloned().collect();
+        running.sort_by_key(|record| std::cmp::Reverse(record.started));
+        Some(running)
+    }
+
     /// The run that made a call with this id and deadline.
     pub(crate) fn parent(&self, call_id: &str, deadline: MilliTime) -> Option<Arc<RunRecord>> {
         self.lock().runs.parent(call_id, deadline).cloned()
@@ -315,6 +338,9 @@
         );
         let outcome = timeout(remaining + ANSWER_MARGIN, exchange).await;
         let outcome = outcome.unwrap_or(CallOutcome::Unknown(UnknownCause::Expired));
+        if outcome == CallOutcome::Unknown(UnknownCause::ServerEnded) {
+            observer.observe_end(&target);
+        }
         run.end = Some(run.end_of(&outcome));
         let costs = run.costs(&self.service, self.clock.now());
         (outcome, costs)
@@ -357,10 +383,11 @@
         let record = Arc::new(RunRecord {
             context: call.context.clone(),
             due: call.due,
+            started: self.clock.now(),
             costs: Mutex::default(),
             call_failed: AtomicBool::new(false),
         });
-        let now = self.clock.now();
+        let now = record.started;
         let mut state = self.lock();
         match (call.context.is_resend, call.context.is_repeat) {
             (true, _) => {}
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod backend_watch;
 pub(crate) mod body_budget;
 pub(crate) mod config_copy;
+pub(crate) mod crash_watch;
 pub mod decision_log;
 pub(crate) mod directory;
 pub mod keyed_store;
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -12,6 +12,7 @@
 use super::backend_admission::{BackendAdmission, BackendCall};
 use super::backend_watch::BackendWatch;
 use super::body_budget::{BodyBudget, UsualSize};
+use super::crash_watch::observe_crash;
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{
     DirectoryEntry, DirectoryView, KnownVersion, apply_directory, known_version,
@@ -114,6 +115,7 @@
 struct BackendFailureLine<'a> {
     request: &'a str,
     root: &'a str,
+    identity: String,
     service: &'a str,
     is_root: bool,
     priority: u8,
@@ -370,6 +372,7 @@
         let line = BackendFailureLine {
             request: &call.context.request_id,
             root: &call.context.root_id,
+            identity: call.context.identity.to_string(),
             service: &call.context.service,
             is_root: call.context.rank.is_root,
             priority: call.context.rank.priority,
@@ -474,4 +477,8 @@
     fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap) {
         observe_notice(self, &target.incarnation, &self.dialect.notice(headers));
     }
+
+    fn observe_end(&self, target: &BackendTarget) {
+        observe_crash(self, &target.incarnation);
+    }
 }
--- a/src/sidecar/request/context.rs
+++ b/src/sidecar/request/context.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::policy::request_identity::RequestIdentity;
 use crate::policy::request_rank::RequestRank;
 
 /// Identity, origin and rank of a request.
@@ -12,6 +13,8 @@
 pub struct CallContext {
     /// The id that the caller gave the request.
     pub request_id: Arc<str>,
+    /// The digest of its contents.
+    pub identity: RequestIdentity,
     /// The id of the root request that this one belongs to; its own for a root.
     pub root_id: Arc<str>,
     /// The organisation that owns the request's key.
@@ -96,6 +99,8 @@
     LinkLost,
     /// The connection to the backend server ended early.
     Broken,
+    /// The backend server ended.
+    ServerEnded,
     /// The answer was incomplete, unsigned or for another request.
     Spoiled,
     /// No answer arrived before the deadline.
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -19,6 +19,7 @@
 use crate::clock::MilliTime;
 use crate::error::ResultCode;
 use crate::policy::caller_retry::retry_delay;
+use crate::policy::request_identity::{RequestContents, RequestIdentity};
 use crate::policy::request_rank::RequestRank;
 use crate::policy::retry_allowance::hash_fraction;
 use crate::policy::root_admission::{RootDecision, RootGroup, RootLimit};
@@ -233,8 +234,17 @@
     };
     let service = choose_service(shared, &identified.route);
     trace.service = Some(service.clone());
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let identity = RequestIdentity::of(&RequestContents {
+        caller: trace.organisation.as_deref().unwrap_or(&shared.settings.service),
+        service: &service,
+        method: parts.method.as_str(),
+        path,
+        body: &body,
+    });
     let context = CallContext {
         request_id: trace.request.clone(),
+        identity,
         root_id: trace.root.clone().unwrap_or_else(|| trace.request.clone()),
         organisation: identified.organisation.as_ref().map(|found| found.name.clone()),
         rank: identified.rank,
@@ -244,7 +254,6 @@
         is_resend: false,
         is_entitled,
     };
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let forward = ForwardRequest {
         method: parts.method.as_str().to_owned(),
         path: path.to_owned(),
