--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -105,6 +105,8 @@
         self.record_run(run, Instant::now());
     }
 
+    fn crashed(&self, _instance: &str) {}
+
     fn leave_acknowledged(&self, instance: &str) {
         self.lock().leaves.entry(instance.to_owned()).or_insert_with(Instant::now);
     }
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -9,12 +9,17 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use super::{DEADLINE_MILLIS, HOST, LEAVING, LIMIT, ORGANISATION, REQUEST_ID, SIGNATURE, TARGET};
 use crate::http::{HttpClient, ReceivedRequest, ServerReply, exchange, http_client, serve};
 
+/// A request whose path contains this ends the upstream that runs it.
+pub const DEADLY_PATH: &str = "deadly";
+/// Execution time of such a request until the upstream ends.
+const DEADLY_TIME: Duration = Duration::from_millis(30);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Later acknowledgements are ignored.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -39,6 +44,8 @@
 /// One run of a request at an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamRun {
+    /// The path of the request.
+    pub path: String,
     /// The request id that the caller assigned.
     pub request_id: String,
     /// The upstream's service.
@@ -78,6 +85,8 @@
 pub trait UpstreamObserver: Send + Sync {
     /// A request starts to run.
     fn started(&self, run: &UpstreamRun);
+    /// An upstream ended under a request.
+    fn crashed(&self, instance: &str);
     /// The daemon acknowledged that an upstream leaves.
     fn leave_acknowledged(&self, instance: &str);
     /// An upstream states a limit, or no longer does.
@@ -95,6 +104,8 @@
     /// Whether answers tell of a leave that is not announced.
     tells_leave: AtomicBool,
     limit: Mutex<Option<f64>>,
+    /// Notified when a request ends the upstream.
+    crash: Notify,
     sequence: AtomicU64,
     calls: AtomicU64,
     started_ms: u64,
@@ -104,7 +115,8 @@
 pub struct UpstreamServer {
     address: SocketAddr,
     state: Arc<UpstreamState>,
-    tasks: Mutex<JoinSet<()>>,
+    tasks: Arc<Mutex<JoinSet<()>>>,
+    _crash_watch: JoinSet<()>,
 }
 
 impl UpstreamServer {
@@ -127,6 +139,7 @@
             is_draining: AtomicBool::new(false),
             tells_leave: AtomicBool::new(false),
             limit: Mutex::new(None),
+            crash: Notify::new(),
             sequence: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             started_ms: since_epoch.expect("the clock is past the Unix epoch").as_millis() as u64,
@@ -135,7 +148,10 @@
         let (address, mut tasks) =
             serve(address, move |request| run_request(shared.clone(), request)).await?;
         tasks.spawn(send_heartbeats(state.clone()));
-        Ok(UpstreamServer { address, state, tasks: Mutex::new(tasks) })
+        let tasks = Arc::new(Mutex::new(tasks));
+        let mut crash_watch = JoinSet::new();
+        crash_watch.spawn(end_on_crash(state.clone(), tasks.clone()));
+        Ok(UpstreamServer { address, state, tasks, _crash_watch: crash_watch })
     }
 
     /// The listening address.
@@ -165,6 +181,13 @@
     }
 }
 
+/// Closes the listener and all connections once a request ends the upstream.
+async fn end_on_crash(state: Arc<UpstreamState>, tasks: Arc<Mutex<JoinSet<()>>>) {
+    state.crash.notified().await;
+    tasks.lock().expect("lock not poisoned").abort_all();
+    state.observer.crashed(&state.instance);
+}
+
 async fn send_heartbeats(state: Arc<UpstreamState>) {
     loop {
         send_heartbeat(&state).await;
@@ -199,12 +222,18 @@
         ));
     }
     state.observer.started(&UpstreamRun {
+        path: request.path.clone(),
         request_id: id.clone(),
         service: state.plan.service.clone(),
         instance: state.instance.clone(),
         organisation: request.header(ORGANISATION).to_owned(),
         has_key: request.headers.contains_key("authorization"),
     });
+    if request.path.contains(DEADLY_PATH) {
+        sleep(DEADLY_TIME).await;
+        state.crash.notify_one();
+        return std::future::pending().await;
+    }
     sleep(state.plan.service_time).await;
     for path in &state.plan.calls {
         if !send_sub_call(&state, &id, path, request.header(DEADLINE_MILLIS)).await {
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,5 +1,6 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
+mod crashes;
 mod fleet;
 mod floods;
 mod keys;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -353,7 +353,7 @@
     Ipv4Addr::new(127, 64 | (high & 63), middle ^ 1, low.max(1))
 }
 
-fn free_address() -> SocketAddr {
+pub(super) fn free_address() -> SocketAddr {
     loop {
         let listener = std::net::TcpListener::bind((own_loopback(), 0)).unwrap();
         let address = listener.local_addr().unwrap();
@@ -414,6 +414,17 @@
         daemon
     }
 
+    /// Starts a daemon beside a server of the test's own, which announces itself at the daemon's
+    /// address for announcements.
+    pub(super) async fn start_unannounced(
+        &self,
+        name: &str,
+        service: &str,
+        server: SocketAddr,
+    ) -> TestDaemon {
+        self.start_with(name, service, TestBackend::at(server), free_address()).await
+    }
+
     /// Starts a daemon beside a server of the test's own.
     pub(super) async fn start_beside(
         &self,
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -26,6 +26,7 @@
 
 fn run() -> UpstreamRun {
     UpstreamRun {
+        path: "/write/1".to_owned(),
         request_id: ID.to_owned(),
         service: "shop".to_owned(),
         instance: "i-1".to_owned(),
