A backend server that ended gets no requests until it announces itself

Callers were refused although a server was up: daemons beside servers that had ended went on offering their slots until heartbeats were 4.5 s late, and a request was given up after three of them (request_served_by_last_server: 503 for the first request with one of six servers left; it failed before).

A refused connection now closes admission at once, whoever meets it; the next heartbeat opens it again. Instances without a server count apart from refusals by load, up to eight.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -57,7 +57,7 @@
     /// The head of an answer to the request arrived.
     fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap);
 
-    /// The backend server ended while it ran the request.
+    /// Nothing listens at the backend server's address any more.
     fn observe_end(&self, target: &BackendTarget);
 }
 
@@ -120,6 +120,7 @@
         };
         match self.send(target, context, outgoing, runs_once, observer).await {
             CallOutcome::Unknown(UnknownCause::Broken) if self.has_ended(target).await => {
+                observer.observe_end(target);
                 CallOutcome::Unknown(UnknownCause::ServerEnded)
             }
             outcome => outcome,
@@ -153,7 +154,10 @@
                 Some(connection) => connection,
                 None => match self.connect(target.address).await {
                     Ok(connection) => connection,
-                    Err(_) => {
+                    Err(error) => {
+                        if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                            observer.observe_end(target);
+                        }
                         let cause = NotRunCause::Unreachable;
                         return CallOutcome::NotRun { cause, capacity_in_millis: 0 };
                     }
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -38,6 +39,8 @@
     pub(crate) context: CallContext,
     pub(crate) due: MilliTime,
     started: MilliTime,
+    /// Whether it was sent to the backend server.
+    is_sent: AtomicBool,
     costs: Mutex<CostList>,
     call_failed: AtomicBool,
 }
@@ -100,6 +103,27 @@
     notified: Mutex<(MilliTime, InstanceLoad)>,
 }
 
+/// Marks a run as sent.
+struct RunObserver<'a> {
+    record: &'a RunRecord,
+    next: &'a dyn ExchangeObserver,
+}
+
+impl ExchangeObserver for RunObserver<'_> {
+    fn observe_send(&self) {
+        self.record.is_sent.store(true, Ordering::Relaxed);
+        self.next.observe_send();
+    }
+
+    fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap) {
+        self.next.observe_head(target, headers);
+    }
+
+    fn observe_end(&self, target: &BackendTarget) {
+        self.next.observe_end(target);
+    }
+}
+
 /// Removes a request from the admission queue when its future is dropped.
 struct WaitGuard<'a> {
     admission: &'a BackendAdmission,
@@ -282,7 +306,10 @@
             return None;
         }
         state.ended = Some(incarnation.clone());
-        let running = state.runs.values().filter(|record| record.started <= noticed);
+        let ran = |record: &&Arc<RunRecord>| {
+            record.is_sent.load(Ordering::Relaxed) && record.started <= noticed
+        };
+        let running = state.runs.values().filter(ran);
         let mut running: Vec<Arc<RunRecord>> = running.cloned().collect();
         running.sort_by_key(|record| std::cmp::Reverse(record.started));
         Some(running)
@@ -328,19 +355,17 @@
             return (refusal_outcome(AdmissionRefusal::NoBackend), CostList::new());
         };
         let remaining = call.deadline.until(self.clock.now());
+        let observer = RunObserver { record: &run.record, next: observer };
         let exchange = self.pool.exchange(
             &target,
             &call.context,
             &call.request,
             remaining,
             call.runs_once,
-            observer,
+            &observer,
         );
         let outcome = timeout(remaining + ANSWER_MARGIN, exchange).await;
         let outcome = outcome.unwrap_or(CallOutcome::Unknown(UnknownCause::Expired));
-        if outcome == CallOutcome::Unknown(UnknownCause::ServerEnded) {
-            observer.observe_end(&target);
-        }
         run.end = Some(run.end_of(&outcome));
         let costs = run.costs(&self.service, self.clock.now());
         (outcome, costs)
@@ -384,6 +409,7 @@
             context: call.context.clone(),
             due: call.due,
             started: self.clock.now(),
+            is_sent: AtomicBool::new(false),
             costs: Mutex::default(),
             call_failed: AtomicBool::new(false),
         });
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -119,6 +119,18 @@
     }
 }
 
+/// Suspends admission to an incarnation that ended, until the backend server announces itself.
+pub(crate) fn close_admission(shared: &SidecarShared, ended: &BackendIncarnation) {
+    let was_open = {
+        let mut state = shared.backend_watch.lock();
+        state.tracker.is_current(ended) && std::mem::replace(&mut state.is_open, false)
+    };
+    if was_open {
+        shared.backend_admission.suspend();
+        shared.observe_own_load();
+    }
+}
+
 /// Suspends admission to an incarnation that said in an answer that it leaves, and has the leave
 /// recorded for a restart.
 pub(crate) fn note_leave(shared: &SidecarShared, left: &BackendIncarnation) {
--- a/src/sidecar/process/crash_watch.rs
+++ b/src/sidecar/process/crash_watch.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::backend_watch::close_admission;
 use super::decision_log::LineCategory;
 use super::sidecar_shared::SidecarShared;
 use crate::policy::incarnation::BackendIncarnation;
@@ -24,6 +25,7 @@
     let Some(running) = shared.backend_admission.record_ended(incarnation, now) else {
         return;
     };
+    close_admission(shared, incarnation);
     shared.metrics.count("backend_ended");
     let identities = running.iter().map(|record| record.context.identity.to_string());
     let line = CrashLine {
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -20,6 +20,8 @@
 
 /// A request is given up after this many refusals without reaching a backend server.
 const UNSENT_REFUSALS_MAX: usize = 3;
+/// The same for refusals of instances without a backend server, which cost next to nothing.
+const ABSENT_REFUSALS_MAX: usize = 8;
 /// Refusals by backend servers after which a request is given up. If half of the sends are refused,
 /// about one request in four thousand is refused this often.
 const BACKEND_REFUSALS_MAX: usize = 12;
@@ -100,7 +102,7 @@
 
     /// Sends the request until it is answered or given up.
     pub(crate) async fn run(&mut self) -> DispatchOutcome {
-        let (mut unsent, mut refused) = (0, 0);
+        let (mut unsent, mut absent, mut refused) = (0, 0, 0);
         let mut last_refusal = (NotRunCause::NoBackend, 0);
         loop {
             let is_refused = last_refusal.0 == NotRunCause::BackendRefused && refused > 0;
@@ -132,9 +134,14 @@
                     self.mark_resend();
                 }
                 CallOutcome::NotRun { cause, capacity_in_millis } => {
-                    unsent += 1;
+                    let is_absent =
+                        matches!(cause, NotRunCause::NoBackend | NotRunCause::Unreachable);
+                    absent += usize::from(is_absent);
+                    unsent += usize::from(!is_absent);
                     last_refusal = (cause, capacity_in_millis);
-                    if unsent >= UNSENT_REFUSALS_MAX || self.remaining().is_zero() {
+                    let is_given_up =
+                        unsent >= UNSENT_REFUSALS_MAX || absent >= ABSENT_REFUSALS_MAX;
+                    if is_given_up || self.remaining().is_zero() {
                         return self.not_run_outcome(cause, capacity_in_millis);
                     }
                 }
--- a/tests/suite/sidecar/crashes.rs
+++ b/tests/suite/sidecar/crashes.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use http_body_util::Full;
+use hyper::Request;
 use lentilway_stand_ins::platform::upstream::{
     DEADLY_PATH, UpstreamObserver, UpstreamPlan, UpstreamRun, UpstreamServer, UpstreamStatement,
 };
@@ -113,6 +115,16 @@
         FragileService { fleet, daemons, history, _servers: servers }
     }
 
+    /// Ends a backend server that has not ended before, past its daemon.
+    async fn end_server(&self, number: usize) {
+        let address = self.daemons[number].settings.backend_address;
+        let request = Request::get(format!("http://{address}/{DEADLY_PATH}"))
+            .header("x-lentilway-target-instance", format!("i-stock-{number}-0"))
+            .body(Full::default());
+        let ended = self.fleet.client.request(request.unwrap()).await;
+        assert!(ended.is_err(), "the server ends without an answer");
+    }
+
     /// Sends a deadly request through one daemon after the other, and ordinary ones through all,
     /// for `span`. Returns how many ordinary ones were sent and served, and the statuses of the
     /// deadly ones.
@@ -163,6 +175,23 @@
     format!("/{route}/{DEADLY_PATH}")
 }
 
+/// Servers that ended take no requests until they are back: callers get the answer of the last one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_served_by_last_server() {
+    let service = FragileService::start(6).await;
+    let entry = service.fleet.start("entry", "prices").await;
+    service.fleet.until(&entry, "/read/first", KEY, 200).await;
+    for number in 1..6 {
+        service.end_server(number).await;
+    }
+    expect_that!(service.history.ends().len(), eq(5));
+    for number in 0..20 {
+        let path = format!("/read/{number}");
+        expect_that!(service.fleet.send(&entry, &path, KEY).await.status, eq(200));
+    }
+}
+
 /// Issue 28: one request took down all servers of a service again and again.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
