--- a/src/policy/crash_ledger.rs
+++ b/src/policy/crash_ledger.rs
@@ -147,7 +147,7 @@
     /// let report = CrashReport {
     ///     crash: CrashId::new("a", &server),
     ///     wall_millis: 0,
-    ///     running: [request].into(),
+    ///     running: [request].into_iter().collect(),
     ///     on_probation: None,
     /// };
     /// let mut ledger = CrashLedger::default();
