One odd record of the store costs that record, not the read

What happened: a page of newest records was decoded as a whole. A truncated record made each further read of changes fail at the same position for good.

--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -36,6 +36,8 @@
     pub records: Vec<StoreRecord>,
     /// The read position, to be passed to [`KeyedStore::changes`].
     pub cursor: StorePosition,
+    /// The number of records that could not be decoded and are left out.
+    pub unreadable: usize,
 }
 
 /// Why a call to the store failed.
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
+use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
+use super::decision_log::LineCategory;
 use super::keyed_store::{StoreError, StoreTopic};
 use super::sidecar_shared::SidecarShared;
 use crate::clock::MilliTime;
@@ -25,6 +27,12 @@
 /// Time between reads of the directory.
 const DIRECTORY_READ_DELAY: Duration = Duration::from_millis(400);
 
+#[derive(Serialize)]
+struct UnreadableRecordsLine {
+    topic: &'static str,
+    records: usize,
+}
+
 /// Reads of one topic by this daemon.
 struct TopicReader {
     shared: Arc<SidecarShared>,
@@ -159,7 +167,9 @@
                 false
             }
             Ok(read) => {
-                let proven = proven_at(requested, from.is_some() && read.records.is_empty(), wait);
+                self.report_unreadable(read.unreadable);
+                let waited_whole = from.is_some() && read.records.is_empty();
+                let proven = proven_at(requested, waited_whole, wait);
                 let is_proof = self.shared.merge_read(self.topic, from, read, proven);
                 self.shared.store_answered(topic_name(self.topic));
                 if is_proof {
@@ -176,6 +186,13 @@
         }
     }
 
+    fn report_unreadable(&self, records: usize) {
+        if records > 0 {
+            let line = UnreadableRecordsLine { topic: topic_name(self.topic), records };
+            self.shared.log.write(LineCategory::Failure, "records-unreadable", &line);
+        }
+    }
+
     fn retry_later(&mut self) {
         self.failures += 1;
         let rank = self.shared.peers.reader_rank();
--- a/tests/suite/platform/store.rs
+++ b/tests/suite/platform/store.rs
@@ -1,14 +1,17 @@
 //! The client of the platform's store against its stand-in.
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use lentilway::platform::PlatformStore;
 use lentilway::policy::store_position::{StoreEra, StorePosition};
-use lentilway::sidecar::process::keyed_store::{KeyedStore, StoreError, StoreTopic};
+use lentilway::sidecar::process::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
 use lentilway_stand_ins::platform::store::StoreServer;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 const NO_WAIT: Duration = Duration::ZERO;
 /// A copy of this age holds nothing.
@@ -73,3 +76,113 @@
     let error = read.await.unwrap().unwrap_err();
     expect_that!(error, matches_pattern!(StoreError::NoAnswer { .. }));
 }
+
+/// A store that answers every call with these bytes.
+async fn start_answering(body: Vec<u8>) -> PlatformStore {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let client = PlatformStore::new(listener.local_addr().unwrap());
+    let body: Arc<[u8]> = body.into();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let length = body.len();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close");
+            let mut received = [0; 4_096];
+            let _ = stream.read(&mut received).await.unwrap();
+            stream.write_all(format!("{head}\r\n\r\n").as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+    });
+    client
+}
+
+fn keys(read: &StoreRead) -> Vec<&str> {
+    read.records.iter().map(|record| record.key.as_str()).collect()
+}
+
+/// An odd item of a page costs that item, not the page.
+#[gtest]
+#[tokio::test]
+async fn snapshot_odd_items() {
+    let nested = format!(
+        r#"{{"key":"odd","value":{}{},"offset":1}}"#,
+        "[".repeat(20_000),
+        "]".repeat(20_000)
+    );
+    let odd_items: [&[u8]; 12] = [
+        b"null",
+        b"7",
+        b"[]",
+        br#"{"key":7,"value":"MQ==","offset":1}"#,
+        br#"{"key":"odd","value":"no base64!","offset":1}"#,
+        br#"{"key":"odd","value":null,"offset":1}"#,
+        br#"{"key":"odd","value":"MQ==","offset":99999999999999999999999}"#,
+        br#"{"key":"odd","value":"MQ==","offset":-1}"#,
+        br#"{"key":"odd","value":"MQ==","offset":1e400}"#,
+        br#"{"key":"odd","key":"odd","value":"MQ==","offset":1}"#,
+        br#"{"key":"\ud800","value":"MQ==","offset":1}"#,
+        nested.as_bytes(),
+    ];
+    for odd in odd_items {
+        let first = br#"{"items":[{"key":"one","value":"MQ==","offset":0},"#;
+        let last = br#",{"key":"two","value":"Mg==","offset":2}],"has_more":false,"end_offset":3}"#;
+        let body = [&first[..], odd, last].concat();
+        let read = start_answering(body).await.snapshot(DIRECTORY).await;
+        let name = String::from_utf8_lossy(&odd[..odd.len().min(60)]);
+        expect_that!(read, ok(anything()), "{name}");
+        let read = read.unwrap_or_default();
+        expect_that!(keys(&read), elements_are![eq(&"one"), eq(&"two")], "{name}");
+        expect_that!(read.unreadable, eq(1), "{name}");
+        expect_that!(read.cursor.offset, eq(3), "{name}");
+    }
+}
+
+/// A key that is no text is kept apart from the others.
+#[gtest]
+#[tokio::test]
+async fn snapshot_key_not_text() {
+    let body = [
+        &br#"{"items":[{"key":""#[..],
+        b"\xff\xfe",
+        br#"","value":"MQ==","offset":0},{"key":"two","value":"Mg==","offset":1}],"#,
+        br#""has_more":false,"end_offset":2}"#,
+    ]
+    .concat();
+    let read = start_answering(body).await.snapshot(DIRECTORY).await.unwrap();
+    expect_that!(keys(&read), contains(eq(&"two")));
+}
+
+fn framed(records: &[&[u8]]) -> Vec<u8> {
+    let (end, first) = (records.len() as u64, 0_u64);
+    let mut body = [end.to_be_bytes(), first.to_be_bytes()].concat();
+    for record in records {
+        body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    body
+}
+
+/// A record without a readable key costs that record; the read goes on behind it.
+#[gtest]
+#[tokio::test]
+async fn changes_odd_records() {
+    for odd in [&b""[..], b"\x00", b"\xffshort", b"\x02\xff\xfevalue", b"\x09four"] {
+        let body = framed(&[b"\x03one1", odd, b"\x03two2"]);
+        let store = start_answering(body).await;
+        let read = store.changes(DIRECTORY, StorePosition::default(), NO_WAIT).await.unwrap();
+        expect_that!(keys(&read), contains(eq(&"one")), "{odd:?}");
+        expect_that!(keys(&read), contains(eq(&"two")), "{odd:?}");
+        expect_that!(read.cursor.offset, eq(3), "{odd:?}");
+    }
+}
+
+/// Records after a truncated one can't be told apart, so that a snapshot is read instead.
+#[gtest]
+#[tokio::test]
+async fn changes_truncated_record() {
+    let mut body = framed(&[b"\x03one1", b"\x03two2"]);
+    body.truncate(body.len() - 1);
+    let store = start_answering(body).await;
+    let read = store.changes(DIRECTORY, StorePosition::default(), NO_WAIT).await;
+    expect_that!(read, err(eq(&StoreError::Expired)));
+}
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -7,6 +7,7 @@
 mod leaves;
 mod limits;
 mod links;
+mod odd_entries;
 mod outcomes;
 mod replica;
 mod restores;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -34,6 +34,8 @@
 pub(super) const HOST: &str = "shop.example";
 pub(super) const KEY: &str = "a-key";
 pub(super) const WITHDRAWN_KEY: &str = "another-key";
+/// The store's reads leave records with this key out, as ones that cannot be decoded.
+pub(super) const UNREADABLE_KEY: &str = "unreadable";
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -112,8 +114,10 @@
         let era = self.era();
         all.iter_mut().for_each(|record| record.position.era = era);
         let cursor = StorePosition { era, offset: all.len() as u64 };
-        let records = all.into_iter().skip(from as usize).collect();
-        StoreRead { records, cursor }
+        let requested = all.into_iter().skip(from as usize);
+        let (unreadable, records): (Vec<_>, Vec<_>) =
+            requested.partition(|record| record.key == UNREADABLE_KEY);
+        StoreRead { records, cursor, unreadable: unreadable.len() }
     }
 }
 
@@ -147,7 +151,7 @@
             if read.cursor.era != cursor.era {
                 return Err(StoreError::Restored { era: read.cursor.era });
             }
-            if !read.records.is_empty() || Instant::now() >= end {
+            if read.cursor != cursor || Instant::now() >= end {
                 return Ok(read);
             }
             let _ = timeout(end - Instant::now(), written).await;
@@ -499,6 +503,11 @@
         restarted
     }
 
+    /// Has the ids of the requests that follow count from `number`.
+    pub(super) fn skip_ids_to(&self, number: usize) {
+        self.next_id.store(number, Ordering::SeqCst);
+    }
+
     /// Sends a request with a new id through a daemon.
     pub(super) async fn send(&self, daemon: &TestDaemon, path: &str, key: &str) -> CallerAnswer {
         self.request(daemon, path, key).await
--- a/tests/suite/sidecar/replica.rs
+++ b/tests/suite/sidecar/replica.rs
@@ -116,7 +116,7 @@
             }
             None => self.state(end).into_values().collect(),
         };
-        Some(StoreRead { records, cursor: end })
+        Some(StoreRead { records, cursor: end, unreadable: 0 })
     }
 }
 
