A read that ended early with an undecodable record proves no later state

A read of changes without records was taken for one that waited its whole time, and proved the state as of the end of the wait. A read that returns early with nothing but a record that is left out looks the same, and its proof lay up to 0.8 s in the future for the configuration, up to 4 s for the directory. Callers of a daemon that lost the store then were served with a withdrawn key for longer than the bound.

The position tells: only a read that ends where it began has waited.

freshness_record_left_out failed before: served for 5.56 s, bound 5 s; passes now.

--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -168,7 +168,7 @@
             }
             Ok(read) => {
                 self.report_unreadable(read.unreadable);
-                let waited_whole = from.is_some() && read.records.is_empty();
+                let waited_whole = from == Some(read.cursor);
                 let proven = proven_at(requested, waited_whole, wait);
                 let is_proof = self.shared.merge_read(self.topic, from, read, proven);
                 self.shared.store_answered(topic_name(self.topic));
--- a/tests/suite/sidecar/odd_entries.rs
+++ b/tests/suite/sidecar/odd_entries.rs
@@ -1,9 +1,12 @@
 //! Entries of other writers among those that daemons read.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use lentilway::sidecar::process::keyed_store::StoreTopic;
+use tokio::time::{Instant, sleep};
 
-use super::fleet::{KEY, TestFleet, WITHDRAWN_KEY, config};
+use super::fleet::{KEY, TestFleet, UNREADABLE_KEY, WITHDRAWN_KEY, config};
 
 const NESTED_DEPTH: usize = 50_000;
 
@@ -85,3 +88,28 @@
         expect_that!(fleet.send(daemon, "/read/1", KEY).await.status, eq(200));
     }
 }
+
+/// A read that ends early with a record that is left out proves nothing beyond its request: a daemon
+/// that loses the store then stops serving keyed requests in time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn freshness_record_left_out() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/read/1", WITHDRAWN_KEY, 200).await;
+    // The read that follows the first record has waited for a short time when the second one comes.
+    for key in ["another", UNREADABLE_KEY] {
+        fleet.store.write(StoreTopic::Configuration, key, None);
+        sleep(Duration::from_millis(20)).await;
+    }
+    fleet.store.set_down(true);
+    let lost = Instant::now();
+    for number in 2.. {
+        fleet.announce(&daemon, number, false).await;
+        if fleet.send(&daemon, "/read/1", WITHDRAWN_KEY).await.status != 200 {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(lost.elapsed(), le(daemon.settings.withdrawal_bound));
+}
