Answers without an id on a kept connection are not believed

An answer without an id was believed whatever came before it. A refusal, a 421 or a 500 written again without its id, after the next request's bytes were read, became that request's outcome: a refusal was retried until the deadline as 'not run' (504), a 500 reached the wrong caller. With the earlier id the answer was already recognised.

Now an answer without an id is taken only as the first one of its connection; else the run is unknown, and the connection is closed.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -77,6 +77,8 @@
     address: SocketAddr,
     idle_since: MilliTime,
     idle_max: Duration,
+    /// Whether an answer was received on it.
+    has_answered: bool,
     meter: Arc<ReadMeter>,
     _task: ConnectionTask,
 }
@@ -168,7 +170,7 @@
             observer.observe_send();
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
-                    if self.is_answer_to(context, answer.headers()) {
+                    if self.is_answer_to(context, &connection, answer.headers()) {
                         observer.observe_head(target, answer.headers());
                     }
                     return self.finish_exchange(connection, answer, context).await;
@@ -194,8 +196,12 @@
     ) -> CallOutcome {
         let keep_alive = keep_alive_timeout(answer.headers());
         let closes = has_connection_close(answer.headers());
+        if !self.is_answer_to(context, &connection, answer.headers()) {
+            return CallOutcome::Unknown(UnknownCause::Spoiled);
+        }
         match self.receive(answer, context, &connection.meter).await {
             Ok(outcome) => {
+                connection.has_answered = true;
                 // Bytes after the answer close the connection.
                 yield_now().await;
                 if !closes && !connection.sender.is_closed() {
@@ -216,9 +222,6 @@
         meter: &ReadMeter,
     ) -> Result<CallOutcome, UnknownCause> {
         let (parts, body) = answer.into_parts();
-        if !self.is_answer_to(context, &parts.headers) {
-            return Err(UnknownCause::Spoiled);
-        }
         meter.allow(FRAMING_BYTES_MAX);
         let on_frame = || meter.allow(FRAMING_BYTES_MAX);
         let received =
@@ -247,10 +250,18 @@
         Ok(CallOutcome::Answered(BackendAnswer { status, headers, body }))
     }
 
-    /// Whether the answer is not known to be that of another request.
-    fn is_answer_to(&self, context: &CallContext, headers: &HeaderMap) -> bool {
-        let id = headers.get(&self.headers.request_id);
-        id.is_none_or(|id| id.as_bytes() == context.request_id.as_bytes())
+    /// Whether the answer belongs to the request: it names its id, or names none and is the first on
+    /// its connection. On a kept connection, an earlier answer may arrive once more.
+    fn is_answer_to(
+        &self,
+        context: &CallContext,
+        connection: &PooledConnection,
+        headers: &HeaderMap,
+    ) -> bool {
+        match headers.get(&self.headers.request_id) {
+            Some(id) => id.as_bytes() == context.request_id.as_bytes(),
+            None => !connection.has_answered,
+        }
     }
 
     fn build_request(
@@ -314,6 +325,7 @@
             address,
             idle_since: self.clock.now(),
             idle_max: IDLE_MAX,
+            has_answered: false,
             meter,
             _task: ConnectionTask(task),
         })
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod fleet;
 mod floods;
+mod kept_connections;
 mod keys;
 mod leaves;
 mod limits;
--- /dev/null
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -0,0 +1,172 @@
+//! Backend servers that write an earlier answer again, or break an answer off.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use super::fleet::{KEY, TestFleet, own_loopback};
+
+const SIGNATURE: &str = "x-lentilway-server-signature: signed\r\n";
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-lentilway-not-executed: 1\r\n";
+const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\n";
+const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\n";
+const NO_BODY: &str = "content-length: 0\r\n\r\n";
+
+fn whole_answer(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-lentilway-attempt-id: {id}\r\n{SIGNATURE}content-length: 5\r\n\r\nwhole"
+    )
+}
+
+async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    Ok(String::from_utf8_lossy(&head).to_lowercase())
+}
+
+fn request_id(head: &str) -> &str {
+    let rest = head.split("x-lentilway-attempt-id: ").nth(1);
+    rest.and_then(|rest| rest.lines().next()).unwrap_or_default()
+}
+
+/// Which id the repeated answer carries.
+#[derive(Clone, Copy, Debug)]
+enum RepeatedId {
+    Earlier,
+    Absent,
+}
+
+/// Answers the first request of a connection, and to later ones writes `repeated` again.
+async fn serve_repeating(
+    mut stream: TcpStream,
+    (repeated, repeated_id): (&'static str, RepeatedId),
+    runs: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    let first = read_head(&mut stream).await?;
+    runs.fetch_add(1, Ordering::SeqCst);
+    stream.write_all(whole_answer(request_id(&first)).as_bytes()).await?;
+    read_head(&mut stream).await?;
+    runs.fetch_add(1, Ordering::SeqCst);
+    let id = match repeated_id {
+        RepeatedId::Earlier => format!("x-lentilway-attempt-id: {}\r\n", request_id(&first)),
+        RepeatedId::Absent => String::new(),
+    };
+    stream.write_all(format!("{repeated}{id}{NO_BODY}").as_bytes()).await?;
+    // The run of the second request goes on.
+    sleep(Duration::from_secs(5)).await;
+    Ok(())
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((own_loopback(), 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// An answer written once more on a kept connection says nothing about the request that follows:
+/// it has run, and its caller is not told otherwise.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_repeated_on_kept_connection() {
+    for repeated in [REFUSAL, MISDIRECTED, FAILURE] {
+        for repeated_id in [RepeatedId::Earlier, RepeatedId::Absent] {
+            let (listener, address) = listen().await;
+            let runs = Arc::new(AtomicUsize::new(0));
+            let run_count = runs.clone();
+            tokio::spawn(async move {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    let run_count = run_count.clone();
+                    // An error means that the daemon has closed the connection.
+                    tokio::spawn(async move {
+                        let _ = serve_repeating(stream, (repeated, repeated_id), run_count).await;
+                    });
+                }
+            });
+            let fleet = TestFleet::new();
+            let daemon = fleet.start_beside("one", "stock", address).await;
+            fleet.until(&daemon, "/write/1", KEY, 200).await;
+            let before = runs.load(Ordering::SeqCst);
+            let answer = fleet.send(&daemon, "/write/2", KEY).await;
+            let name = format!("{repeated_id:?}: {repeated}");
+            expect_that!(answer.status, eq(502), "{name}");
+            expect_that!(answer.headers["lentilway-execution"], eq("may-have-run"), "{name}");
+            expect_that!(runs.load(Ordering::SeqCst) - before, eq(1), "{name}");
+        }
+    }
+}
+
+/// Answers a request for a cut answer with the first `cut` bytes of `whole`, in which `{id}` stands
+/// for the request's id, and others wholly; then closes.
+async fn serve_cut(
+    mut stream: TcpStream,
+    (whole, cut): (String, usize),
+    cuts: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    let head = read_head(&mut stream).await?;
+    if head.contains("/write/cut") {
+        cuts.fetch_add(1, Ordering::SeqCst);
+        let whole = whole.replace("{id}", request_id(&head));
+        stream.write_all(&whole.as_bytes()[..cut]).await?;
+    } else {
+        let whole =
+            whole_answer(request_id(&head)).replacen("\r\n", "\r\nconnection: close\r\n", 1);
+        stream.write_all(whole.as_bytes()).await?;
+    }
+    stream.shutdown().await
+}
+
+/// An answer that is cut, whatever the byte, never reaches the caller as a whole one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_cut_at_every_byte() {
+    let head =
+        "HTTP/1.1 200 OK\r\nx-lentilway-attempt-id: {id}\r\nx-lentilway-server-signature: s\r\n";
+    let chunks = "3\r\nwho\r\n2;x=y\r\nle\r\n0\r\nx-t: 1\r\n\r\n";
+    let by_length = format!("{head}content-length: 5\r\n\r\nwhole");
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}");
+    let by_close = format!("{head}\r\nwhole");
+    // The ids of the test's requests are as long as this.
+    let longer = "request-1000".len() - "{id}".len();
+    for (whole, cuts_end) in [
+        (by_length.clone(), by_length.len() + longer),
+        (chunked.clone(), chunked.len() + longer),
+        // Without a length, the end of the connection is the end of the body.
+        (by_close.clone(), by_close.len() + longer - "\nwhole".len()),
+    ] {
+        let (listener, address) = listen().await;
+        let cut = Arc::new(AtomicUsize::new(0));
+        let cuts = Arc::new(AtomicUsize::new(0));
+        let (current, count, answer) = (cut.clone(), cuts.clone(), whole.clone());
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let answer = (answer.clone(), current.load(Ordering::SeqCst));
+                // An error means that the daemon has closed the connection.
+                tokio::spawn(serve_cut(stream, answer, count.clone()));
+            }
+        });
+        let fleet = TestFleet::new();
+        let daemon = fleet.start_beside("one", "stock", address).await;
+        fleet.skip_ids_to(1_000);
+        for bytes in 0..cuts_end {
+            // Failures in a row would have the daemon refuse requests unsent.
+            for _ in 0..3 {
+                fleet.until(&daemon, "/write/whole", KEY, 200).await;
+            }
+            cut.store(bytes, Ordering::SeqCst);
+            let answer = fleet.send(&daemon, "/write/cut", KEY).await;
+            expect_that!(answer.status, eq(502), "{bytes} bytes of {whole}");
+            expect_that!(answer.headers["lentilway-execution"], eq("may-have-run"));
+            expect_that!(cuts.swap(0, Ordering::SeqCst), eq(1), "{bytes} bytes of {whole}");
+        }
+    }
+}
