--- a/src/policy/weighted_split.rs
+++ b/src/policy/weighted_split.rs
@@ -26,8 +26,8 @@
     /// assert_eq!(firsts, 9);
     /// ```
     pub fn choose(&mut self, route: &Arc<str>, weights: &[u32]) -> usize {
-        let total: u32 = weights.iter().sum();
-        if weights.len() < 2 || total == 0 {
+        let total: f64 = weights.iter().map(|weight| f64::from(*weight)).sum();
+        if weights.len() < 2 || total == 0.0 {
             return 0;
         }
         if self.credit.get(route).is_none_or(|credit| credit.len() != weights.len()) {
@@ -35,7 +35,7 @@
         }
         let credit = self.credit.get_mut(route).expect("the entry was inserted above");
         for (credit, weight) in credit.iter_mut().zip(weights) {
-            *credit += f64::from(*weight) / f64::from(total);
+            *credit += f64::from(*weight) / total;
         }
         let by_credit = |a: &usize, b: &usize| credit[*a].total_cmp(&credit[*b]);
         let chosen = (0..weights.len()).max_by(by_credit).unwrap_or(0);
--- a/tests/suite/sidecar/odd_entries.rs
+++ b/tests/suite/sidecar/odd_entries.rs
@@ -4,7 +4,8 @@
 
 use googletest::prelude::*;
 use lentilway::sidecar::process::keyed_store::StoreTopic;
-use tokio::time::{Instant, sleep};
+use serde_json::json;
+use tokio::time::{Instant, sleep, timeout};
 
 use super::fleet::{KEY, TestFleet, UNREADABLE_KEY, WITHDRAWN_KEY, config};
 
@@ -113,3 +114,91 @@
     }
     expect_that!(lost.elapsed(), le(daemon.settings.withdrawal_bound));
 }
+
+/// A configuration that cannot be decoded changes nothing, and the next one is in force.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn config_odd_versions() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/read/1", WITHDRAWN_KEY, 200).await;
+    let deep = nested();
+    let route = |field: &str, value: &str| {
+        format!(
+            r#"{{"version":9,"resources":[{{"entry_kind":"routes","metadata":{{"name":"r"}},"spec":{{"hostname":"h","path_prefix":"/","kind":"safe","{field}":{value}}}}}]}}"#
+        )
+    };
+    let odd_versions = [
+        deep.clone(),
+        format!(r#"{{"version":9,"resources":{deep}}}"#),
+        r#"{"version":1e400,"resources":[]}"#.to_owned(),
+        r#"{"version":-9,"resources":[]}"#.to_owned(),
+        r#"{"version":99999999999999999999999999,"resources":[]}"#.to_owned(),
+        r#"{"version":9,"version":10,"resources":[]}"#.to_owned(),
+        r#"{"version":9,"resources":[null]}"#.to_owned(),
+        route("timeout_s", "1e300"),
+        route("timeout_s", "-1"),
+        route("timeout_s", "1e400"),
+        route("traffic_split", r#"[{"service":"stock","weight":4294967296}]"#),
+        route("traffic_split", &deep),
+        route("traffic_split", "[]"),
+        route("max_attempts", "-1"),
+        route("priority", "256"),
+    ];
+    for odd in odd_versions {
+        fleet.store.write(StoreTopic::Configuration, "config", Some(odd.clone().into_bytes()));
+    }
+    for (version, has_second_key, status) in [(2, false, 401), (3, true, 200)] {
+        fleet.store.write(
+            StoreTopic::Configuration,
+            "config",
+            Some(config(version, has_second_key)),
+        );
+        fleet.until(&daemon, "/read/1", WITHDRAWN_KEY, status).await;
+    }
+}
+
+/// Values at the ends of their ranges are served without a panic.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn config_extreme_values() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    let mut version = 1;
+    for extreme in [
+        json!({"timeout_s": 1e18, "target_latency_s": 1e18}),
+        json!({"timeout_s": 0, "target_latency_s": 0}),
+        json!({"max_attempts": u32::MAX}),
+        json!({"max_attempts": 0}),
+        json!({"service": null, "traffic_split": [{"service": "stock", "weight": u32::MAX},
+            {"service": "stock", "weight": u32::MAX}]}),
+        json!({"service": null, "traffic_split": [{"service": "stock", "weight": 0}]}),
+    ] {
+        version += 1;
+        let mut spec = json!({"hostname": "shop.example", "path_prefix": format!("/x{version}/"),
+            "kind": "safe", "timeout_s": 3, "service": "stock", "max_attempts": 2});
+        spec.as_object_mut().unwrap().extend(extreme.as_object().unwrap().clone());
+        let mut whole: serde_json::Value = serde_json::from_slice(&config(version, true)).unwrap();
+        let resources = whole["resources"].as_array_mut().unwrap();
+        resources.push(json!({"entry_kind": "routes", "metadata": {"name": "x"}, "spec": spec}));
+        for (rate, burst) in [(1e308, 1e308), (1e-308, 1e308), (1e308, 0.0), (-1.0, -1.0)] {
+            let name = format!("t{rate}");
+            resources.push(json!({"entry_kind": "tenants", "metadata": {"name": name},
+                "spec": {"api_keys": [name], "rate_per_s": rate, "burst": burst}}));
+        }
+        fleet.store.write(StoreTopic::Configuration, "config", Some(whole.to_string().into()));
+        let path = format!("/x{version}/1");
+        let known = async {
+            while fleet.send(&daemon, &path, KEY).await.status == 404 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let known = timeout(Duration::from_secs(10), known).await;
+        expect_that!(known, ok(anything()), "{extreme}");
+        for key in ["t1e308", "t1e-308", "t-1"] {
+            fleet.send(&daemon, &path, key).await;
+        }
+        expect_that!(fleet.send(&daemon, "/read/1", KEY).await.status, eq(200), "{extreme}");
+    }
+}
