Split the request's trace, the store's reports and the backend call into files

Code is moved as it was: RequestTrace to request/trace.rs, the log lines about the store to process/store_report.rs, BackendCall to process/backend_call.rs.

--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -14,7 +14,7 @@
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
 use crate::policy::store_position::StorePosition;
-use crate::sidecar::process::backend_admission::BackendCall;
+use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::notice_watch::learn_notice;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::backend_call::BackendCall;
 use crate::clock::{MilliClock, MilliTime};
 use crate::policy::admission_queue::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
@@ -22,9 +23,7 @@
 use crate::policy::root_admission::{CostList, SlotCost, add_cost};
 use crate::policy::run_registry::{RunKey, RunRegistry};
 use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
-use crate::sidecar::request::context::{
-    CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
-};
+use crate::sidecar::request::context::{CallContext, CallOutcome, NotRunCause, UnknownCause};
 
 /// Shortest time between notifications of a changed load.
 const NOTIFY_INTERVAL: Duration = Duration::from_millis(300);
@@ -56,25 +55,6 @@
     }
 }
 
-/// A request for the backend server with its times.
-#[derive(Clone, Debug)]
-pub(crate) struct BackendCall {
-    pub(crate) context: CallContext,
-    pub(crate) request: ForwardRequest,
-    pub(crate) accepted: MilliTime,
-    pub(crate) deadline: MilliTime,
-    pub(crate) due: MilliTime,
-    /// Whether it must not run twice.
-    pub(crate) runs_once: bool,
-}
-
-impl BackendCall {
-    /// The time between acceptance and deadline.
-    pub(crate) fn planned_time(&self) -> Duration {
-        self.deadline.since(self.accepted)
-    }
-}
-
 #[derive(Debug)]
 struct AdmissionState {
     queue: AdmissionQueue,
--- a/src/sidecar/process/crash_watch.rs
+++ b/src/sidecar/process/crash_watch.rs
@@ -12,7 +12,8 @@
 use tokio::sync::{Notify, Semaphore, SemaphorePermit, broadcast};
 use tokio::time::{sleep, timeout};
 
-use super::backend_admission::{BackendCall, RunRecord};
+use super::backend_admission::RunRecord;
+use super::backend_call::BackendCall;
 use super::backend_watch::close_admission;
 use super::decision_log::LineCategory;
 use super::directory::write_own_entry;
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -1,6 +1,7 @@
 //! State and tasks that last as long as the process.
 
 pub(crate) mod backend_admission;
+pub(crate) mod backend_call;
 pub(crate) mod backend_watch;
 pub(crate) mod body_budget;
 pub(crate) mod config_copy;
@@ -17,6 +18,7 @@
 pub mod sidecar_metrics;
 pub(crate) mod sidecar_shared;
 pub(crate) mod store_reader;
+mod store_report;
 pub(crate) mod store_view;
 pub mod topic_replica;
 pub mod wire_dialect;
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -9,20 +9,20 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
-use super::backend_admission::{BackendAdmission, BackendCall};
+use super::backend_admission::BackendAdmission;
+use super::backend_call::BackendCall;
 use super::backend_watch::BackendWatch;
 use super::body_budget::{BodyBudget, UsualSize};
 use super::crash_watch::{CrashWatch, ProbationRun, not_run, observe_crash, observe_good_end};
 use super::decision_log::{DecisionLog, LineCategory};
-use super::directory::{
-    DirectoryEntry, DirectoryView, KnownVersion, apply_directory, known_version,
-};
-use super::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
+use super::directory::{DirectoryEntry, DirectoryView, KnownVersion, apply_directory};
+use super::keyed_store::{KeyedStore, StoreRead, StoreTopic};
 use super::notice_watch::{NoticeWatch, observe_notice};
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
 use super::settings::SidecarSettings;
 use super::sidecar_metrics::SidecarMetrics;
+use super::store_report::DependencyLine;
 use super::store_view::StoreView;
 use super::topic_replica::TopicChange;
 use super::wire_dialect::WireDialect;
@@ -31,10 +31,9 @@
 use crate::policy::caller_retry::RetryDetector;
 use crate::policy::crash_ledger::RequestStanding;
 use crate::policy::placement::InstanceLoad;
-use crate::policy::restore_hold::EraEvidence;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::route_success::RouteSuccess;
-use crate::policy::store_position::{StoreEra, StorePosition};
+use crate::policy::store_position::StorePosition;
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
 use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
@@ -87,30 +86,7 @@
     /// When a daemon that linked to this one may be asked for the directory.
     next_start_request: Mutex<MilliTime>,
     config: ArcSwapOption<FleetConfig>,
-    lost_dependencies: Mutex<HashSet<String>>,
-}
-
-#[derive(Serialize)]
-struct DependencyLine<'a> {
-    dependency: &'a str,
-    reason: String,
-}
-
-#[derive(Serialize)]
-struct EraLine {
-    topic: StoreTopic,
-    era: StoreEra,
-    /// The position that was known before.
-    known: Option<StorePosition>,
-    /// Whether reads prove the state from now on.
-    is_trusted: bool,
-}
-
-#[derive(Serialize)]
-struct ReportBehindLine {
-    known: StorePosition,
-    cursor: StorePosition,
-    age_ms: Option<u32>,
+    pub(super) lost_dependencies: Mutex<HashSet<String>>,
 }
 
 #[derive(Serialize)]
@@ -432,59 +408,6 @@
         let event = if is_connected { "peer-connected" } else { "peer-lost" };
         self.log.write(LineCategory::Change, event, &line);
     }
-
-    /// Records the era of a read of the store, and logs it if it is a new one; whether the read
-    /// proves the state as of `proven`.
-    fn observe_era(
-        &self,
-        topic: StoreTopic,
-        era: StoreEra,
-        proven: MilliTime,
-        has_rewrite: bool,
-    ) -> bool {
-        let is_confirmed = known_version(self, era).is_some();
-        let evidence = EraEvidence { is_confirmed, has_rewrite };
-        let mut hold = self.store_view.hold.lock().expect("lock not poisoned");
-        let is_new = hold.newest_era().is_none_or(|newest| era > newest);
-        let is_proof = hold.observe(proven, era, evidence);
-        drop(hold);
-        if is_new {
-            self.metrics.store_era.set(era.0.try_into().unwrap_or(i64::MAX));
-            let known = self.store_view.position(topic);
-            let line = EraLine { topic, era, known, is_trusted: is_proof };
-            self.log.write(LineCategory::Change, "store-era", &line);
-        }
-        is_proof
-    }
-
-    /// Logs that another daemon knows the directory of an earlier era.
-    fn log_report_behind(&self, report: &TopicReport) {
-        let known = self.store_view.directory.cursor().unwrap_or_default();
-        if report.cursor.era < known.era {
-            let line = ReportBehindLine { known, cursor: report.cursor, age_ms: report.age_millis };
-            self.log.write(LineCategory::Change, "report-behind", &line);
-        }
-    }
-
-    /// Counts a failed call to the store; logs the first failure of each reader.
-    pub(crate) fn store_failed(&self, reader: &str, error: &StoreError) {
-        self.metrics.count("store_failed");
-        let is_new =
-            self.lost_dependencies.lock().expect("lock not poisoned").insert(reader.to_owned());
-        if is_new {
-            let line = DependencyLine { dependency: reader, reason: error.to_string() };
-            self.log.write(LineCategory::Change, "store-lost", &line);
-        }
-    }
-
-    /// Logs the first answer to a reader after a failure.
-    pub(crate) fn store_answered(&self, reader: &str) {
-        let was_lost = self.lost_dependencies.lock().expect("lock not poisoned").remove(reader);
-        if was_lost {
-            let line = DependencyLine { dependency: reader, reason: "answered".to_owned() };
-            self.log.write(LineCategory::Change, "store-regained", &line);
-        }
-    }
 }
 
 impl ExchangeObserver for SidecarShared {
--- /dev/null
+++ b/src/sidecar/process/store_report.rs
@@ -0,0 +1,90 @@
+//! What is logged and counted of the store: its era, and whether it answers.
+
+use serde::Serialize;
+
+use super::decision_log::LineCategory;
+use super::directory::known_version;
+use super::keyed_store::{StoreError, StoreTopic};
+use super::sidecar_shared::SidecarShared;
+use crate::clock::MilliTime;
+use crate::policy::restore_hold::EraEvidence;
+use crate::policy::store_position::{StoreEra, StorePosition};
+use crate::sidecar::connection::frame::TopicReport;
+
+#[derive(Serialize)]
+pub(super) struct DependencyLine<'a> {
+    pub(super) dependency: &'a str,
+    pub(super) reason: String,
+}
+
+#[derive(Serialize)]
+struct EraLine {
+    topic: StoreTopic,
+    era: StoreEra,
+    /// The position that was known before.
+    known: Option<StorePosition>,
+    /// Whether reads prove the state from now on.
+    is_trusted: bool,
+}
+
+#[derive(Serialize)]
+struct ReportBehindLine {
+    known: StorePosition,
+    cursor: StorePosition,
+    age_ms: Option<u32>,
+}
+
+impl SidecarShared {
+    /// Records the era of a read of the store, and logs it if it is a new one; whether the read
+    /// proves the state as of `proven`.
+    pub(super) fn observe_era(
+        &self,
+        topic: StoreTopic,
+        era: StoreEra,
+        proven: MilliTime,
+        has_rewrite: bool,
+    ) -> bool {
+        let is_confirmed = known_version(self, era).is_some();
+        let evidence = EraEvidence { is_confirmed, has_rewrite };
+        let mut hold = self.store_view.hold.lock().expect("lock not poisoned");
+        let is_new = hold.newest_era().is_none_or(|newest| era > newest);
+        let is_proof = hold.observe(proven, era, evidence);
+        drop(hold);
+        if is_new {
+            self.metrics.store_era.set(era.0.try_into().unwrap_or(i64::MAX));
+            let known = self.store_view.position(topic);
+            let line = EraLine { topic, era, known, is_trusted: is_proof };
+            self.log.write(LineCategory::Change, "store-era", &line);
+        }
+        is_proof
+    }
+
+    /// Logs that another daemon knows the directory of an earlier era.
+    pub(super) fn log_report_behind(&self, report: &TopicReport) {
+        let known = self.store_view.directory.cursor().unwrap_or_default();
+        if report.cursor.era < known.era {
+            let line = ReportBehindLine { known, cursor: report.cursor, age_ms: report.age_millis };
+            self.log.write(LineCategory::Change, "report-behind", &line);
+        }
+    }
+
+    /// Counts a failed call to the store; logs the first failure of each reader.
+    pub(crate) fn store_failed(&self, reader: &str, error: &StoreError) {
+        self.metrics.count("store_failed");
+        let is_new =
+            self.lost_dependencies.lock().expect("lock not poisoned").insert(reader.to_owned());
+        if is_new {
+            let line = DependencyLine { dependency: reader, reason: error.to_string() };
+            self.log.write(LineCategory::Change, "store-lost", &line);
+        }
+    }
+
+    /// Logs the first answer to a reader after a failure.
+    pub(crate) fn store_answered(&self, reader: &str) {
+        let was_lost = self.lost_dependencies.lock().expect("lock not poisoned").remove(reader);
+        if was_lost {
+            let line = DependencyLine { dependency: reader, reason: "answered".to_owned() };
+            self.log.write(LineCategory::Change, "store-regained", &line);
+        }
+    }
+}
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::policy::request_identity::RequestIdentity;
 use crate::policy::root_admission::CostList;
 use crate::sidecar::connection::frame::PeerCall;
-use crate::sidecar::process::backend_admission::BackendCall;
+use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::directory::connect_peers;
 use crate::sidecar::process::peer_table::PeerEntry;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
--- a/src/sidecar/request/mod.rs
+++ b/src/sidecar/request/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod dispatch;
 pub(crate) mod handler;
 pub(crate) mod response;
+mod trace;
