A spoiled kept connection closes the others, so that a resend gets a new one

A server that writes more after its answers spoils every connection that is kept; if the bytes come after the connection went back to the pool, the next request takes them for its answer, and its one resend took the next kept connection with the same fate. (After a parse error the probe for an ended server happens to leave a new connection on top; after an answer of another request nothing did.)

When an exchange on a kept connection ends without an answer, the pool is now cleared. read_kept_connections_spoiled, four kept connections that all hold a left-over answer, failed before (502) and passes now.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -182,7 +182,7 @@
                         let cause = NotRunCause::Unreachable;
                         return CallOutcome::NotRun { cause, capacity_in_millis: 0 };
                     }
-                    None => return CallOutcome::Unknown(UnknownCause::Broken),
+                    None => return self.give_up(&connection, UnknownCause::Broken),
                 },
             }
         }
@@ -197,7 +197,7 @@
         let keep_alive = keep_alive_timeout(answer.headers());
         let closes = has_connection_close(answer.headers());
         if !self.is_answer_to(context, &connection, answer.headers()) {
-            return CallOutcome::Unknown(UnknownCause::Spoiled);
+            return self.give_up(&connection, UnknownCause::Spoiled);
         }
         match self.receive(answer, context, &connection.meter).await {
             Ok(outcome) => {
@@ -211,10 +211,19 @@
                 }
                 outcome
             }
-            Err(cause) => CallOutcome::Unknown(cause),
+            Err(cause) => self.give_up(&connection, cause),
         }
     }
 
+    /// Ends an exchange without an answer. If its connection was a kept one, the others may be spoiled
+    /// too, so that they are closed and a resend gets a new one.
+    fn give_up(&self, connection: &PooledConnection, cause: UnknownCause) -> CallOutcome {
+        if connection.has_answered {
+            self.clear();
+        }
+        CallOutcome::Unknown(cause)
+    }
+
     async fn receive(
         &self,
         answer: Response<hyper::body::Incoming>,
--- a/tests/suite/sidecar/kept_connections.rs
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -104,6 +104,47 @@
     }
 }
 
+/// Bytes that spoil several kept connections cost a request that may run again one send, not all.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn read_kept_connections_spoiled() {
+    let (listener, address) = listen().await;
+    let is_spoiled = Arc::new(AtomicBool::new(false));
+    let spoiled = is_spoiled.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (spoiled, is_new) = (spoiled.clone(), AtomicBool::new(true));
+            tokio::spawn(async move {
+                // An error means that the daemon has closed the connection.
+                while let Ok(head) = read_head(&mut stream).await {
+                    let is_new = is_new.swap(false, Ordering::SeqCst);
+                    // Requests overlap, so that several connections are kept.
+                    sleep(Duration::from_millis(30)).await;
+                    let answer = match spoiled.load(Ordering::SeqCst) && !is_new {
+                        true => format!("HTTP/1.1 200 OK\r\n{NO_BODY}"),
+                        false => whole_answer(request_id(&head)),
+                    };
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    let fleet = TestFleet::new();
+    let daemon = fleet.start_beside("one", "stock", address).await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    let mut callers = tokio::task::JoinSet::new();
+    for _ in 0..4 {
+        callers.spawn(fleet.request(&daemon, "/read/1", KEY));
+    }
+    let answers = callers.join_all().await;
+    expect_that!(answers.iter().map(|answer| answer.status).collect::<Vec<_>>(), each(eq(&200)));
+    is_spoiled.store(true, Ordering::SeqCst);
+    let answer = fleet.send(&daemon, "/read/1", KEY).await;
+    expect_that!(answer.status, eq(200));
+    expect_that!(&answer.body[..], eq(b"whole"));
+}
+
 /// Answers a request for a cut answer with the first `cut` bytes of `whole`, in which `{id}` stands
 /// for the request's id, and others wholly; then closes.
 async fn serve_cut(
