The soak draws requests that end each upstream that runs them

Check: at most three sends after the third end and the stable time, from daemons in touch (not restarted or frozen within that time, no unplanned fault since).

--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -86,6 +86,29 @@
     Some(sender)
 }
 
+/// Sends a request on a connection of its own; `None` if no whole answer arrives.
+pub(crate) async fn send_once(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    key: &str,
+) -> Option<CallerOutcome> {
+    let mut connection = connect(address).await?;
+    let received = receive(&mut connection, build_request(path, id, key));
+    let (end, ..) = timeout(REQUEST_DEADLINE + DEADLINE_MARGIN, received).await.ok()??;
+    Some(end)
+}
+
+fn build_request(path: &str, id: &str, key: &str) -> Request<Full<Bytes>> {
+    let request = Request::get(path)
+        .header("host", HOST)
+        .header(REQUEST_ID, id)
+        .header(DEADLINE_MILLIS, REQUEST_DEADLINE.as_millis().to_string())
+        .header("authorization", format!("Bearer {key}"))
+        .body(Full::default());
+    request.expect("the path is a valid URI")
+}
+
 /// Sends one request; returns the connection if it can be reused.
 async fn send(
     group: &CallerGroup,
@@ -100,12 +123,8 @@
     let organisation = group.organisations[random.random_range(0..group.organisations.len())];
     let key = organisation.keys[random.random_range(0..organisation.keys.len())];
     let id = format!("request-{}", group.next_id.fetch_add(1, Ordering::SeqCst));
-    let request = Request::get(format!("/{}/{}", route.name, random.random::<u32>()))
-        .header("host", HOST)
-        .header(REQUEST_ID, &id)
-        .header(DEADLINE_MILLIS, REQUEST_DEADLINE.as_millis().to_string())
-        .header("authorization", format!("Bearer {key}"))
-        .body(Full::default());
+    let path = format!("/{}/{}", route.name, random.random::<u32>());
+    let request = build_request(&path, &id, key);
     let sent = SentRequest {
         daemon: group.daemon,
         start: group.start.load(Ordering::SeqCst),
@@ -119,9 +138,7 @@
     group.history.record_sent(&id, sent);
     let is_abandoned = random.random_ratio(1, ABANDON_ONE_IN);
     let wait_limit = if is_abandoned { PAUSE_MAX } else { REQUEST_DEADLINE + DEADLINE_MARGIN };
-    let received =
-        timeout(wait_limit, receive(&mut connection, request.expect("the path is a valid URI")))
-            .await;
+    let received = timeout(wait_limit, receive(&mut connection, request)).await;
     let (end, is_reusable) = match received {
         Err(_) => (CallerOutcome::Left, false),
         Ok(None) => (CallerOutcome::Cut, false),
--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -8,6 +8,7 @@
 /// Faults per second of the run.
 const FAULTS_PER_SECOND: f64 = 1.2;
 const STORE_RETURN_SEED: u64 = 0x5702_e2a1;
+const DEADLY_SEED: u64 = 0xdead_1e57;
 
 /// A fault of one node or of a shared component; the `usize` is the node's index.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,6 +35,11 @@
     Store(StoreFault),
     /// The store comes back from a copy; the operator writes again what it lacks.
     RestoreStore,
+    /// A request that ends each upstream that runs it is sent again and again.
+    SendDeadly {
+        /// Whether it may run twice.
+        is_safe: bool,
+    },
     /// A key of an organisation is withdrawn.
     WithdrawKey,
     /// A route is added.
@@ -75,6 +81,11 @@
 }
 
 impl SoakFault {
+    /// Whether connections of callers may close because of it.
+    pub(crate) fn may_cut_connections(self) -> bool {
+        !self.is_planned_operation() && !matches!(self, SoakFault::SendDeadly { .. })
+    }
+
     /// Whether this is a planned operation, during which no request may be lost.
     pub(crate) fn is_planned_operation(self) -> bool {
         use SoakFault::{
@@ -114,6 +125,7 @@
         }
     }
     plan.extend(draw_store_returns(seed, length, planned_only));
+    plan.extend(draw_deadly_requests(seed, length));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -134,6 +146,17 @@
     (0..count).map(|_| draw()).collect()
 }
 
+/// Deadly requests in half of the runs, those with planned operations only among them. They are drawn
+/// apart as well.
+fn draw_deadly_requests(seed: u64, length: Duration) -> Option<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ DEADLY_SEED);
+    random.random_bool(0.5).then(|| PlannedFault {
+        at: length.mul_f64(random.random_range(0.0..0.4)),
+        duration: Duration::from_millis(random.random_range(100..2_000)),
+        fault: SoakFault::SendDeadly { is_safe: random.random_bool(0.5) },
+    })
+}
+
 fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
     let node = random.random_range(0..nodes);
     match random.random_range(0..17) {
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -4,7 +4,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use lentilway_stand_ins::platform::upstream::{UpstreamObserver, UpstreamRun, UpstreamStatement};
+use lentilway_stand_ins::platform::upstream::{
+    DEADLY_PATH, UpstreamObserver, UpstreamRun, UpstreamStatement,
+};
 
 // Bounds from the settings that the soak writes and from the platform's rules.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -24,6 +26,9 @@
 const LIMIT_TOLD_TIME: Duration = Duration::from_millis(500);
 /// An unplanned fault excuses connections that end within this time before or after it.
 const FAULT_MARGIN: Duration = Duration::from_secs(3);
+/// The bound on a request that ends upstreams binds from this time after the third of them.
+const CRASH_STABLE_TIME: Duration = Duration::from_secs(3);
+const SENDS_AFTER_CRASHES_MAX: usize = 3;
 /// Statuses which guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -82,6 +87,8 @@
     stops: Vec<(usize, Instant)>,
     /// Restarts and suspensions of daemons, which excuse what they were told before.
     interruptions: Vec<(usize, Instant)>,
+    /// Daemons whose upstream a request has ended, with its instance.
+    crashed: Vec<(usize, String)>,
     /// The limits stated by each instance, in order, `None` for the end of one.
     limits: HashMap<String, Vec<(Instant, Option<f64>)>>,
     /// When each daemon passed on an answer with a limit, and one that told of a leave, by instance.
@@ -105,7 +112,11 @@
         self.record_run(run, Instant::now());
     }
 
-    fn crashed(&self, _instance: &str) {}
+    fn crashed(&self, instance: &str) {
+        if let Some(daemon) = daemon_of(instance) {
+            self.lock().crashed.push((daemon, instance.to_owned()));
+        }
+    }
 
     fn leave_acknowledged(&self, instance: &str) {
         self.lock().leaves.entry(instance.to_owned()).or_insert_with(Instant::now);
@@ -187,6 +198,11 @@
         }
     }
 
+    /// The upstreams that requests have ended since the last call, each with its daemon.
+    pub(crate) fn take_crashed(&self) -> Vec<(usize, String)> {
+        std::mem::take(&mut self.lock().crashed)
+    }
+
     /// Ended requests that were sent since `from`, and how many of them were served.
     pub fn served_since(&self, from: Instant) -> (usize, usize) {
         let state = self.lock();
@@ -214,6 +230,7 @@
         state.check_added_routes(&mut violations);
         state.check_limits(&mut violations);
         state.check_told_leaves(&mut violations);
+        state.check_deadly(&mut violations);
         violations
     }
 
@@ -382,6 +399,34 @@
         }
     }
 
+    /// A request that has ended three upstreams reaches few more, from daemons in touch.
+    fn check_deadly(&self, violations: &mut Vec<String>) {
+        let mut requests: HashMap<&str, Vec<(Instant, &str)>> = HashMap::new();
+        for (id, runs) in &self.runs {
+            for (at, run) in runs.iter().filter(|(_, run)| run.path.contains(DEADLY_PATH)) {
+                requests.entry(&run.path).or_default().push((*at, id));
+            }
+        }
+        for (path, mut runs) in requests {
+            runs.sort_unstable();
+            let Some((third, _)) = runs.get(2).copied() else { continue };
+            let is_late = |(at, id): &&(Instant, &str)| {
+                *at > third + CRASH_STABLE_TIME && self.is_in_touch(id, third, *at)
+            };
+            let late = runs.iter().filter(is_late).count();
+            if late > SENDS_AFTER_CRASHES_MAX {
+                violations.push(format!("{path}: {late} sends after the third end of an upstream"));
+            }
+        }
+    }
+
+    /// Whether the daemon where a request began at `at` could know what happened at `since`.
+    fn is_in_touch(&self, id: &str, since: Instant, at: Instant) -> bool {
+        let interrupted = self.origin(id).and_then(|daemon| self.last_interruption(daemon, at));
+        let has_fault = self.faults.iter().any(|(from, until)| *from < at && *until > since);
+        !has_fault && interrupted.is_none_or(|interrupted| at > interrupted + CRASH_STABLE_TIME)
+    }
+
     /// The daemon at which a request or a sub-call began.
     fn origin(&self, id: &str) -> Option<usize> {
         match id.rsplit_once('.') {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -17,11 +17,13 @@
 use tokio::time::{sleep, timeout};
 
 mod callers;
+mod deadly;
 mod fault;
 pub mod history;
 mod node;
 
 use callers::{CallerGroup, CallerOrganisation, CallerRoute, run_caller};
+use deadly::return_upstreams;
 use fault::{LinkFault, NodeLink, PlannedFault, SoakFault, StoreFault, draw_plan};
 use history::{LIMIT_STABLE_TIME, LIMIT_WINDOW, SoakHistory};
 use node::SoakNode;
@@ -131,6 +133,7 @@
             violations: vec!["the fleet did not start".to_owned()],
         });
     }
+    tasks.spawn(return_upstreams(soak.clone(), ended.clone()));
     soak.inject_all(&plan, settings.duration).await;
     let mut violations = soak.check_recovery().await;
     end.send_replace(true);
@@ -341,10 +344,11 @@
                 self.store.set_mode(StoreMode::Healthy);
             }
             SoakFault::RestoreStore => self.restore_store(planned.duration).await,
+            SoakFault::SendDeadly { is_safe } => self.send_deadly(is_safe, planned.duration).await,
             SoakFault::WithdrawKey => self.withdraw_key().await,
             SoakFault::AddRoute => self.add_route().await,
         }
-        if !planned.fault.is_planned_operation() {
+        if planned.fault.may_cut_connections() {
             self.history.record_fault(started);
         }
     }
@@ -375,6 +379,11 @@
         }
     }
 
+    /// Number of times that a daemon was started.
+    fn start_count(&self, daemon: usize) -> u32 {
+        self.starts[daemon].load(Ordering::SeqCst)
+    }
+
     async fn replace_upstream(&self, number: usize, pause: Duration) {
         self.nodes[number].lock().await.upstream = None;
         sleep(pause).await;
--- a/lab/src/soak/node.rs
+++ b/lab/src/soak/node.rs
@@ -133,12 +133,17 @@
             outbound: self.plan.outbound,
             control: self.plan.control,
         };
-        let id = format!("i-{}-{}", self.plan.name, self.upstream_starts);
+        let id = self.upstream_id();
         let server = UpstreamServer::start(self.upstream_listen, id, plan, history.clone()).await?;
         self.upstream = Some(server);
         Ok(())
     }
 
+    /// The instance id of the upstream that was started last.
+    pub(crate) fn upstream_id(&self) -> String {
+        format!("i-{}-{}", self.plan.name, self.upstream_starts)
+    }
+
     /// Sends a signal to the daemon's process if it is running.
     pub(crate) fn signal(&self, signal: Signal) {
         if let Some(process) = &self.process {
--- a/stand-ins/src/link.rs
+++ b/stand-ins/src/link.rs
@@ -1,6 +1,9 @@
-//! A TCP relay whose connections can be delayed, blocked in one or both directions, or reset.
+//! A TCP relay whose connections can be delayed, blocked in one or both directions, or reset. It
+//! refuses connections while its target does.
 
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,6 +14,10 @@
 use tokio::time::sleep;
 
 const BUFFER_BYTES: usize = 16 * 1024;
+/// Time between attempts to reach a target that refuses connections.
+const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+const TARGET_END_TIME: Duration = Duration::from_millis(2);
 
 /// How a link treats its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -52,7 +59,13 @@
         let address = listener.local_addr()?;
         let mode = watch::Sender::default();
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept_connections(listener, target, mode.subscribe()));
+        let ends = LinkEnds {
+            target,
+            mode: mode.subscribe(),
+            wants_listener: Arc::default(),
+            has_listener: Arc::default(),
+        };
+        tasks.spawn(accept_connections(listener, address, ends));
         Ok(FaultyLink { address, mode, _tasks: tasks })
     }
 
@@ -67,36 +80,83 @@
     }
 }
 
-async fn accept_connections(
-    listener: TcpListener,
+/// What the connections of a link share.
+#[derive(Clone)]
+struct LinkEnds {
     target: SocketAddr,
     mode: watch::Receiver<LinkMode>,
-) {
+    /// Whether the link should listen, and whether it does.
+    wants_listener: Arc<watch::Sender<bool>>,
+    has_listener: Arc<watch::Sender<bool>>,
+}
+
+impl LinkEnds {
+    /// Closes the listener if the target refuses connections, and waits until it is closed.
+    async fn follow_target(&self) {
+        // The target's listener may close a moment after its connections.
+        sleep(TARGET_END_TIME).await;
+        if !accepts_connections(self.target).await {
+            self.wants_listener.send_replace(false);
+            // The sender lives as long as `self`.
+            let _ = self.has_listener.subscribe().wait_for(|has_listener| !has_listener).await;
+        }
+    }
+}
+
+async fn accept_connections(mut listener: TcpListener, address: SocketAddr, ends: LinkEnds) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((inbound, _)) = listener.accept().await else { continue };
-        connections.spawn(relay(inbound, target, mode.clone()));
-        while connections.try_join_next().is_some() {}
+        ends.wants_listener.send_replace(true);
+        ends.has_listener.send_replace(true);
+        let mut wants_listener = ends.wants_listener.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((inbound, _)) = accepted else { continue };
+                    connections.spawn(relay(inbound, ends.clone()));
+                    while connections.try_join_next().is_some() {}
+                }
+                _ = wants_listener.wait_for(|wants_listener| !wants_listener) => break,
+            }
+        }
+        drop(listener);
+        ends.has_listener.send_replace(false);
+        while !accepts_connections(ends.target).await {
+            sleep(TARGET_POLL_INTERVAL).await;
+        }
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => sleep(TARGET_POLL_INTERVAL).await,
+            }
+        };
     }
 }
 
-async fn relay(inbound: TcpStream, target: SocketAddr, mode: watch::Receiver<LinkMode>) {
+async fn accepts_connections(target: SocketAddr) -> bool {
+    let connected = TcpStream::connect(target).await;
+    !connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
+async fn relay(inbound: TcpStream, ends: LinkEnds) {
     // Makes closing a socket reset its connection; after an error it closes normally instead.
     let _ = inbound.set_zero_linger();
-    let Ok(outbound) = TcpStream::connect(target).await else { return };
+    let Ok(outbound) = TcpStream::connect(ends.target).await else {
+        return ends.follow_target().await;
+    };
     let _ = outbound.set_zero_linger();
     // An error is harmless: small messages then wait for acknowledgements.
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
-    let mut reset = mode.clone();
+    let mut reset = ends.mode.clone();
     let (inbound_read, inbound_write) = inbound.into_split();
     let (outbound_read, outbound_write) = outbound.into_split();
     tokio::select! {
         _ = reset.wait_for(|mode| *mode == LinkMode::Reset) => {}
         _ = async {
             tokio::join!(
-                forward(inbound_read, outbound_write, mode.clone(), false),
-                forward(outbound_read, inbound_write, mode.clone(), true),
+                forward(inbound_read, outbound_write, &ends, false),
+                forward(outbound_read, inbound_write, &ends, true),
             )
         } => {}
     }
@@ -105,9 +165,10 @@
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut mode: watch::Receiver<LinkMode>,
+    ends: &LinkEnds,
     is_from_target: bool,
 ) {
+    let mut mode = ends.mode.clone();
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let length = match from.read(&mut buffer).await {
@@ -125,6 +186,9 @@
             return;
         }
     }
+    if is_from_target {
+        ends.follow_target().await;
+    }
     // This fails if the other side has already closed.
     let _ = to.shutdown().await;
 }
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -227,3 +227,27 @@
     expect_that!(found, each(contains_substring("told of its leave")));
     expect_that!(violations_of_statement(statement, true), is_empty());
 }
+
+/// The violations if a deadly request has ended an upstream six times, a second apart but for a
+/// pause of four after the third, and `fault` happens.
+fn violations_of_deadly(fault: impl FnOnce(&SoakHistory)) -> Vec<String> {
+    let history = SoakHistory::default();
+    let now = Instant::now();
+    for (number, after) in [0, 1, 2, 6, 7, 8, 9].into_iter().enumerate() {
+        let request_id = format!("deadly-{number}");
+        let path = "/read/deadly-1".to_owned();
+        let at = now + Duration::from_secs(after);
+        history.record_sent(&request_id, SentRequest { is_safe: true, at, ..sent() });
+        history.record_run(&UpstreamRun { path, request_id, ..run() }, at);
+    }
+    fault(&history);
+    history.violations(&HashMap::new())
+}
+
+#[gtest]
+fn violations_deadly() {
+    let found = violations_of_deadly(|_| {});
+    expect_that!(found, elements_are![contains_substring("4 sends after the third end")]);
+    let crash = |history: &SoakHistory| history.record_fault(Instant::now());
+    expect_that!(violations_of_deadly(crash), not(is_empty()));
+}
