A run that its deadline cuts short does not clear a request that ends servers

Cause: any answer cleared a suspect, also the server's 504 at the deadline and 500, which show nothing. The evidence of three ends was gone, each repeat ran like any other, and those that were cut short cleared it anew. Ruled out: a lost ledger (the daemons beside the servers were not among those killed), a hold that ended early.

Now a run clears a request only if it ends without a server error. One on probation that shows neither is followed by a hold of 4, 16, 64 s and so on, and a suspect begins to run only while 0.3 of its time is left.

--- a/src/policy/crash_ledger.rs
+++ b/src/policy/crash_ledger.rs
@@ -7,7 +7,8 @@
 //! A request that ran at a server when it ended is a suspect until a run of it ends well. It runs
 //! next a moment later, so that ends of other servers that run it already are known, at one instance
 //! that all daemons agree on, one suspect at a time there. If that instance ends too, it is held
-//! back, for longer each time that this happens. One that ran at several servers that ended waits
+//! back, for longer each time that this happens, and for a shorter time if a run there shows neither:
+//! its deadline came, or it failed. One that ran at several servers that ended waits
 //! until these are back. Daemons that were told of the same ends and runs decide alike, in whatever
 //! order and however often they were told.
 
@@ -37,6 +38,11 @@
 /// A request that ran at several servers that ended, beside others, is held back for this long: servers
 /// are back after some seconds.
 const REPEATED_HOLD: Duration = Duration::from_secs(4);
+/// A request is held back for this long after its first run on probation that ended neither well nor
+/// with the server.
+const INCONCLUSIVE_HOLD: Duration = Duration::from_secs(4);
+/// Factor by which each further one prolongs that hold.
+const INCONCLUSIVE_FACTOR: u32 = 4;
 /// A suspect runs this long after the end of the server that ran it.
 const PROBATION_DELAY: Duration = Duration::from_millis(250);
 /// A request is held back for this long after the first server that ended under it on probation.
@@ -120,6 +126,9 @@
     beside: u32,
     /// Servers that ended while it was on probation.
     crashes: u32,
+    /// Runs on probation that ended neither well nor with the server, and the end of the last one.
+    inconclusive: u32,
+    tried: MilliTime,
     /// Whether a run of it has ended well since.
     is_acquitted: bool,
 }
@@ -184,6 +193,29 @@
         self.suspect(crashed, identity);
     }
 
+    /// Records that a run of a suspect on probation ended at `now` neither well nor with the server:
+    /// its deadline came, it failed, or its caller left.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::crash_ledger::{CrashLedger, RequestStanding};
+    /// use lentilway::policy::request_identity::RequestIdentity;
+    /// let (now, request) = (MilliTime(1_000), RequestIdentity(7));
+    /// let mut ledger = CrashLedger::default();
+    /// ledger.note_end(now, request);
+    /// ledger.note_inconclusive(now, request);
+    /// let remaining = Duration::from_secs(4);
+    /// assert_eq!(ledger.standing(now, request), RequestStanding::Held { remaining });
+    /// ```
+    pub fn note_inconclusive(&mut self, now: MilliTime, identity: RequestIdentity) {
+        let record = self.records.get_mut(&identity);
+        if let Some(record) = record.filter(|record| !record.is_acquitted) {
+            record.inconclusive += 1;
+            record.tried = now;
+        }
+    }
+
     fn suspect(&mut self, crashed: MilliTime, identity: RequestIdentity) -> &mut SuspectRecord {
         if self.records.len() >= RECORDS_MAX && !self.records.contains_key(&identity) {
             forget_least(&mut self.records, |record| (record.crashes, record.crashed));
@@ -235,11 +267,12 @@
 
 impl SuspectRecord {
     fn held_until(&self) -> MilliTime {
-        match (self.crashes, self.beside) {
+        let after_end = match (self.crashes, self.beside) {
             (0, 0 | 1) => self.crashed,
             (0, _) => self.crashed + REPEATED_HOLD,
             (crashes, _) => self.crashed + hold_span(crashes),
-        }
+        };
+        after_end.max(self.tried + inconclusive_span(self.inconclusive))
     }
 
     fn is_expired(&self, now: MilliTime) -> bool {
@@ -261,6 +294,14 @@
     FIRST_HOLD.saturating_mul(factor).min(HOLD_MAX)
 }
 
+fn inconclusive_span(runs: u32) -> Duration {
+    let Some(repeated) = runs.checked_sub(1) else {
+        return Duration::ZERO;
+    };
+    let factor = INCONCLUSIVE_FACTOR.saturating_pow(repeated);
+    INCONCLUSIVE_HOLD.saturating_mul(factor).min(HOLD_MAX)
+}
+
 /// Forgets an eighth of the entries, those that come first in `order`.
 fn forget_least<K: Copy + Eq + std::hash::Hash, V, O: Ord>(
     known: &mut HashMap<K, V>,
--- a/src/sidecar/process/crash_watch.rs
+++ b/src/sidecar/process/crash_watch.rs
@@ -25,13 +25,16 @@
 use crate::policy::incarnation::BackendIncarnation;
 use crate::policy::request_identity::RequestIdentity;
 use crate::sidecar::connection::frame::PeerMessage;
-use crate::sidecar::request::context::{CallOutcome, NotRunCause};
+use crate::sidecar::request::context::{CallOutcome, NotRunCause, UnknownCause};
 
 /// Reports of a daemon's own backend server in its directory record.
 const OWN_REPORTS_MAX: usize = 2;
 /// Messages that wait for the task of a link; one that misses some learns of the ends from the
 /// directory.
 const NEWS_QUEUE: usize = 128;
+/// Fraction of the planned time that must remain when a suspect begins to run, since a run that its
+/// deadline cuts short shows nothing.
+const PROBATION_TIME_FRACTION: f64 = 0.3;
 /// Time between writes of the directory record for reports.
 const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 /// Writes of a report before it is given up.
@@ -73,13 +76,30 @@
 
 /// A run on probation, until dropped.
 pub(crate) struct ProbationRun<'a> {
-    watch: &'a CrashWatch,
+    shared: &'a SidecarShared,
+    identity: RequestIdentity,
+    is_conclusive: bool,
     _permit: SemaphorePermit<'a>,
 }
 
+impl ProbationRun<'_> {
+    /// Ends the run with its outcome.
+    pub(crate) fn end(mut self, outcome: &CallOutcome) {
+        self.is_conclusive = match outcome {
+            CallOutcome::Answered(answer) => !answer.is_server_error(),
+            CallOutcome::NotRun { .. } => true,
+            CallOutcome::Unknown(cause) => *cause == UnknownCause::ServerEnded,
+        };
+    }
+}
+
 impl Drop for ProbationRun<'_> {
     fn drop(&mut self) {
-        self.watch.lock().on_probation = None;
+        let mut state = self.shared.crash_watch.lock();
+        state.on_probation = None;
+        if !self.is_conclusive {
+            state.ledger.note_inconclusive(self.shared.clock.now(), self.identity);
+        }
     }
 }
 
@@ -173,16 +193,18 @@
     ///
     /// # Errors
     /// The outcome if it does not run.
-    pub(crate) async fn begin_probation(
-        &self,
-        shared: &SidecarShared,
+    pub(crate) async fn begin_probation<'a>(
+        &'a self,
+        shared: &'a SidecarShared,
         call: &BackendCall,
-    ) -> Result<Option<ProbationRun<'_>>, CallOutcome> {
+    ) -> Result<Option<ProbationRun<'a>>, CallOutcome> {
         let identity = call.context.identity;
         if self.lock().ledger.is_acquitted(identity) {
             return Ok(None);
         }
         let remaining = call.deadline.until(shared.clock.now());
+        let remaining =
+            remaining.saturating_sub(call.planned_time().mul_f64(PROBATION_TIME_FRACTION));
         let permit = match timeout(remaining, self.probation.acquire()).await {
             Ok(permit) => permit.expect("the semaphore is never closed"),
             Err(_) => return Err(not_run(NotRunCause::TooLate, Duration::ZERO)),
@@ -198,7 +220,7 @@
         }
         state.on_probation = Some(identity);
         shared.metrics.count("probation_run");
-        Ok(Some(ProbationRun { watch: self, _permit: permit }))
+        Ok(Some(ProbationRun { shared, identity, is_conclusive: false, _permit: permit }))
     }
 
     fn lock(&self) -> MutexGuard<'_, WatchState> {
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -319,10 +319,17 @@
     /// Runs a request at this daemon's backend server and logs a failure or refusal.
     pub(crate) async fn run_on_backend(&self, call: &BackendCall) -> (CallOutcome, CostList) {
         let (outcome, costs) = match self.begin_run(call).await {
-            Ok(_probation) => self.backend_admission.run(call, self).await,
+            Ok(probation) => {
+                let (outcome, costs) = self.backend_admission.run(call, self).await;
+                if let Some(probation) = probation {
+                    probation.end(&outcome);
+                }
+                (outcome, costs)
+            }
             Err(outcome) => (outcome, CostList::new()),
         };
-        match outcome {
+        match &outcome {
+            CallOutcome::Answered(answer) if answer.is_server_error() => {}
             CallOutcome::Answered(_) => observe_good_end(self, call),
             _ => self.log_backend_failure(call, &outcome),
         }
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -135,7 +135,9 @@
             let outcome = self.send(destination).await;
             match outcome {
                 CallOutcome::Answered(answer) => {
-                    self.shared.crash_watch.acquit(self.shared, self.identity());
+                    if !answer.is_server_error() {
+                        self.shared.crash_watch.acquit(self.shared, self.identity());
+                    }
                     let is_own_failure = answer.is_server_error() && self.costs.len() <= 1;
                     if !is_own_failure || !self.may_resend() {
                         return DispatchOutcome::Answered(answer);
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -16,7 +16,7 @@
 use super::{DEADLINE_MILLIS, HOST, LEAVING, LIMIT, ORGANISATION, REQUEST_ID, SIGNATURE, TARGET};
 use crate::http::{HttpClient, ReceivedRequest, ServerReply, exchange, http_client, serve};
 
-/// A request whose path contains this ends the upstream that runs it.
+/// A request whose path contains this ends the upstream that runs it, unless its deadline comes first.
 pub const DEADLY_PATH: &str = "deadly";
 /// Execution time of such a request until the upstream ends.
 const DEADLY_TIME: Duration = Duration::from_millis(30);
@@ -230,6 +230,12 @@
         has_key: request.headers.contains_key("authorization"),
     });
     if request.path.contains(DEADLY_PATH) {
+        let remaining = request.header(DEADLINE_MILLIS).parse().map(Duration::from_millis);
+        if let Some(remaining) = remaining.ok().filter(|remaining| *remaining < DEADLY_TIME) {
+            sleep(remaining).await;
+            let late = build_response(StatusCode::GATEWAY_TIMEOUT, &id, String::new());
+            return ServerReply::Send(sign(&state, late));
+        }
         sleep(DEADLY_TIME).await;
         state.crash.notify_one();
         return std::future::pending().await;
--- a/tests/suite/policy/crash_ledger.rs
+++ b/tests/suite/policy/crash_ledger.rs
@@ -80,6 +80,25 @@
     expect_that!(is_suspect(&ledger, now, DEADLY), eq(true));
 }
 
+/// A run that neither ends well nor ends the server is tried again, ever later.
+#[gtest]
+fn standing_held_after_inconclusive_run() {
+    let mut ledger = CrashLedger::default();
+    ledger.record(START, Duration::ZERO, &report(1, &[DEADLY], None));
+    let mut now = after(1_000);
+    for seconds in [4, 16, 64] {
+        ledger.note_inconclusive(now, DEADLY);
+        expect_that!(held(&ledger, now, DEADLY), eq(Duration::from_secs(seconds)));
+        now = now + Duration::from_secs(seconds);
+        expect_that!(is_suspect(&ledger, now, DEADLY), eq(true));
+    }
+    ledger.note_inconclusive(now, INNOCENT);
+    expect_that!(ledger.standing(now, INNOCENT), eq(RequestStanding::Clear));
+    ledger.acquit(now, DEADLY);
+    ledger.note_inconclusive(now, DEADLY);
+    expect_that!(ledger.standing(now, DEADLY), eq(RequestStanding::Clear));
+}
+
 /// A request that was sent to several servers before anyone knew waits until these are back.
 #[gtest]
 fn standing_several_ends_at_once() {
--- a/tests/suite/sidecar/crashes.rs
+++ b/tests/suite/sidecar/crashes.rs
@@ -17,6 +17,9 @@
 
 /// Time until a backend server that ended is back.
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
+const CALLER_DEADLINE: Duration = Duration::from_secs(2);
+/// Too short for a deadly request to end a backend server.
+const SHORT_DEADLINE: Duration = Duration::from_millis(25);
 /// After this time the links are up and the backend servers have announced themselves.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// The sends that the platform allows once a request has ended three servers.
@@ -72,10 +75,13 @@
         let Some(third) = self.ends().get(2).copied() else {
             return 0;
         };
+        self.deadly_runs(|at| at > third + STABLE_WINDOW)
+    }
+
+    /// Runs of deadly requests that began at times which `counts`.
+    fn deadly_runs(&self, counts: impl Fn(Instant) -> bool) -> usize {
         let runs = self.runs.lock().unwrap();
-        let is_counted =
-            |run: &&SeenRun| run.path.contains(DEADLY_PATH) && run.at > third + STABLE_WINDOW;
-        runs.iter().filter(is_counted).count()
+        runs.iter().filter(|run| run.path.contains(DEADLY_PATH) && counts(run.at)).count()
     }
 }
 
@@ -129,6 +135,16 @@
     /// for `span`. Returns how many ordinary ones were sent and served, and the statuses of the
     /// deadly ones.
     async fn strike(&self, deadly: &str, span: Duration) -> (usize, usize, Vec<u16>) {
+        self.strike_within(deadly, span, &[CALLER_DEADLINE]).await
+    }
+
+    /// As [`FragileService::strike`], with the deadlines of the deadly requests in turn.
+    async fn strike_within(
+        &self,
+        deadly: &str,
+        span: Duration,
+        deadlines: &[Duration],
+    ) -> (usize, usize, Vec<u16>) {
         let (started, mut sent, mut tick) = (Instant::now(), 0, 0);
         let mut ordinary = JoinSet::new();
         let mut strikes = JoinSet::new();
@@ -140,8 +156,10 @@
                 ordinary.spawn(async move { answer.await.status });
             }
             if tick % 10 == 0 {
-                let daemon = &self.daemons[tick / 10 % self.daemons.len()];
-                let answer = self.fleet.request(daemon, deadly, KEY);
+                let strike = tick / 10;
+                let daemon = &self.daemons[strike % self.daemons.len()];
+                let deadline = deadlines[strike % deadlines.len()];
+                let answer = self.fleet.request_within(daemon, deadly, KEY, deadline);
                 strikes.spawn(async move { answer.await.status });
             }
             tick += 1;
@@ -219,3 +237,27 @@
     expect_that!(history.runs_after_third(), le(SENDS_AFTER_THIRD_MAX));
     expect_that!(served as f64, ge(0.95 * sent as f64));
 }
+
+/// A run that its deadline cuts short does not show that the request is harmless.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn deadly_request_short_of_time_not_cleared() {
+    let service = FragileService::start(4).await;
+    let deadly = deadly_path("read");
+    let mut strikes = JoinSet::new();
+    for daemon in service.daemons.iter().cycle().take(8) {
+        strikes.spawn(service.fleet.request(daemon, &deadly, KEY));
+    }
+    strikes.join_all().await;
+    let history = &service.history;
+    expect_that!(history.ends().len(), ge(1));
+    sleep(DOWN_TIME + SETTLE_TIME).await;
+    let runs_before = history.deadly_runs(|_| true);
+    let (sent, served, strikes) =
+        service.strike_within(&deadly, Duration::from_secs(8), &[SHORT_DEADLINE]).await;
+    println!("{served} of {sent} served, {} ends, answers {strikes:?}", history.ends().len());
+    let runs = history.deadly_runs(|_| true) - runs_before;
+    println!("{runs} more runs");
+    expect_that!(runs, le(SENDS_AFTER_THIRD_MAX));
+    expect_that!(served as f64, ge(0.95 * sent as f64));
+}
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -36,6 +36,7 @@
 pub(super) const WITHDRAWN_KEY: &str = "another-key";
 /// The store's reads leave records with this key out, as ones that cannot be decoded.
 pub(super) const UNREADABLE_KEY: &str = "unreadable";
+const DEADLINE: Duration = Duration::from_secs(2);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -519,13 +520,24 @@
         daemon: &TestDaemon,
         path: &str,
         key: &str,
+    ) -> impl Future<Output = CallerAnswer> + Send + use<> {
+        self.request_within(daemon, path, key, DEADLINE)
+    }
+
+    /// The exchange of a request whose caller waits for `deadline`.
+    pub(super) fn request_within(
+        &self,
+        daemon: &TestDaemon,
+        path: &str,
+        key: &str,
+        deadline: Duration,
     ) -> impl Future<Output = CallerAnswer> + Send + use<> {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
         let uri = format!("http://{}{path}", daemon.settings.request_listen);
         let request = Request::get(uri)
             .header("host", HOST)
             .header("x-lentilway-attempt-id", format!("request-{id}"))
-            .header("x-lentilway-deadline-ms", "2000")
+            .header("x-lentilway-deadline-ms", deadline.as_millis().to_string())
             .header("x-lentilway-tenant-id", "forged")
             .header("authorization", format!("Bearer {key}"))
             .body(Full::default());
