Tokens are not saved for requests that are refused for another reason

Traced with the runs per half second: about 5 while the deep service is short and roots are refused with 2007, then 22 to 30 in each of four half seconds when it has room again, then 10 to 13, the rate. A refused root returns its token, but it had counted as demand, and each daemon holds what its demand needs for 0.4 s. Callers that repeat made a demand of several times the rate, so the fleet saved up more than the burst. Beside it, each daemon that refills nothing kept up to one token while idle: 195 daemons, more than the burst of 69/s.

A returned token takes its demand back; only hosts keep an idle reserve.

--- a/src/policy/moving_average.rs
+++ b/src/policy/moving_average.rs
@@ -58,6 +58,12 @@
         self.per_second += amount / self.window_seconds;
     }
 
+    /// Takes back an amount that was added a moment ago.
+    pub fn subtract(&mut self, now: MilliTime, amount: f64) {
+        self.add(now, -amount);
+        self.per_second = self.per_second.max(0.0);
+    }
+
     /// The rate at `now`.
     ///
     /// ```
--- a/src/policy/token_share.rs
+++ b/src/policy/token_share.rs
@@ -189,8 +189,9 @@
         has_token
     }
 
-    /// Returns the token of a request that was refused later.
+    /// Returns the token of a request that was refused for another reason, which is no demand.
     pub fn refund(&mut self, now: MilliTime) {
+        self.demand.subtract(now, 1.0);
         self.receive(now, 1.0);
     }
 
@@ -265,8 +266,9 @@
 
     fn reserve(&mut self, now: MilliTime) -> f64 {
         let needed = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64();
-        let idle = self.terms.burst * (1.0 - self.pool_fraction()) / self.members as f64;
-        needed.max(idle.min(1.0))
+        let equal_share = self.terms.burst * (1.0 - self.pool_fraction()) / self.members as f64;
+        let idle = if self.refills { equal_share.min(1.0) } else { 0.0 };
+        needed.max(idle)
     }
 
     /// Fraction of the burst that the pool may hold: all of it if the daemons' equal shares would
--- a/tests/suite/policy/tokens.rs
+++ b/tests/suite/policy/tokens.rs
@@ -100,6 +100,25 @@
         }
     }
 
+    /// As [`TokenFleet::run`], but the requests that get a token return it.
+    fn run_refunded(&mut self, from_ms: u64, until_ms: u64, per_second: f64, random: &mut StdRng) {
+        for millis in from_ms..until_ms {
+            let now = MilliTime(millis);
+            if millis % EXCHANGE_INTERVAL_MS == 0 {
+                self.exchange(now);
+            }
+            if random.random_bool((per_second / 1_000.0).min(1.0)) {
+                let index = random.random_range(0..self.shares.len());
+                let admitted = self.admitted.len();
+                self.request(now, index);
+                if self.admitted.len() > admitted {
+                    self.admitted.pop();
+                    self.shares[index].refund(now);
+                }
+            }
+        }
+    }
+
     /// Largest number of admissions in any window of `span_ms`.
     fn max_in(&self, span_ms: u64) -> usize {
         let ends = self.admitted.iter().enumerate();
@@ -179,6 +198,26 @@
     }
 }
 
+/// Requests that take a token and are refused for another reason: the fleet does not save tokens
+/// for them beyond what a window allows.
+#[gtest]
+fn refund_while_service_full_bounded() {
+    for (per_second, daemons) in [(20.0, 6), (38.0, 14), (13.0, 66), (69.0, 195)] {
+        let terms = RateTerms { per_second, burst: per_second };
+        let mut fleet = TokenFleet::with_terms(terms.spread_over(WINDOW), daemons);
+        let mut random = StdRng::seed_from_u64(17);
+        fleet.run_refunded(0, 8_000, per_second * 8.0, &mut random);
+        fleet.run(8_000, 20_000, per_second * 8.0, &mut random);
+        let whole = per_second * 5.0 + per_second;
+        let bound = whole * (1.0 + WINDOW.overage) + WINDOW.slack;
+        expect_that!(
+            fleet.max_in(5_000) as f64,
+            le(bound),
+            "{per_second}/s over {daemons} daemons"
+        );
+    }
+}
+
 /// An organisation of few requests per second, far fewer than there are daemons, gets its rate.
 #[gtest]
 fn take_far_fewer_requests_than_daemons() {
