A suspect whose turn comes too late does not run at another instance

A request that waited in vain for its turn at the instance of its probation was sent to the next one in its order, as any refused request is. Two repeats of one request could then run at two servers at once, and end both, before either end was known. It is refused now, 'not run'.

--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -162,8 +162,12 @@
                     absent += usize::from(is_absent);
                     unsent += usize::from(!is_absent);
                     last_refusal = (cause, capacity_in_millis);
-                    let is_given_up =
-                        unsent >= UNSENT_REFUSALS_MAX || absent >= ABSENT_REFUSALS_MAX;
+                    // A suspect whose turn comes too late does not run at another instance.
+                    let has_missed_turn =
+                        self.call.context.is_suspect && cause == NotRunCause::TooLate;
+                    let is_given_up = has_missed_turn
+                        || unsent >= UNSENT_REFUSALS_MAX
+                        || absent >= ABSENT_REFUSALS_MAX;
                     if is_given_up || self.remaining().is_zero() {
                         return self.not_run_outcome(cause, capacity_in_millis);
                     }
