--- a/tests/suite/sidecar/kept_connections.rs
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -199,6 +199,7 @@
         let daemon = fleet.start_beside("one", "stock", address).await;
         fleet.skip_ids_to(1_000);
         for bytes in 0..cuts_end {
+            fleet.announce(&daemon, 2 + bytes as u64, false).await;
             // Failures in a row would have the daemon refuse requests unsent.
             for _ in 0..3 {
                 fleet.until(&daemon, "/write/whole", KEY, 200).await;
