Review case 2: a withdrawn key works again (CONFIG)

Cause: a read of the store that max_kb cuts short counts as proof that everything written before it is known, so a daemon that missed more than 1,024 KB of versions holds itself fresh with one from before the withdrawal.

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod store;
 mod upstream;
+mod withdrawn_key;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -44,6 +45,7 @@
     let stage = Stage { recorder: recorder.clone(), scratch: scratch.clone(), has_trouble };
     let verdict = match case.as_str() {
         "late-heartbeat" => late_heartbeat::play(&stage),
+        "withdrawn-key" => withdrawn_key::play(&stage),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
