--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod late_heartbeat;
 mod record;
+mod slow_stop;
 mod store;
 mod upstream;
 mod withdrawn_key;
@@ -45,6 +46,7 @@
     let stage = Stage { recorder: recorder.clone(), scratch: scratch.clone(), has_trouble };
     let verdict = match case.as_str() {
         "late-heartbeat" => late_heartbeat::play(&stage),
+        "slow-stop" => slow_stop::play(&stage),
         "withdrawn-key" => withdrawn_key::play(&stage),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
