--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod slow_stop;
 mod store;
+mod uploads;
 mod upstream;
 mod withdrawn_key;
 
@@ -46,6 +47,7 @@
     let stage = Stage { recorder: recorder.clone(), scratch: scratch.clone(), has_trouble };
     let verdict = match case.as_str() {
         "late-heartbeat" => late_heartbeat::play(&stage),
+        "uploads" => uploads::play(&stage),
         "slow-stop" => slow_stop::play(&stage),
         "withdrawn-key" => withdrawn_key::play(&stage),
         _ => Verdict::NotRun(format!("no case {case}")),
