Review case 5: a crash loop of one daemon grants tokens (QUOTA)

Cause: the first host of an organisation is granted tokens at each start, while the other hosts go on refilling.

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -2,6 +2,7 @@
 //! the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves out the
 //! disruption.
 
+mod crash_loop;
 mod daemon;
 mod fleet;
 mod http;
@@ -50,6 +51,7 @@
         "uploads" => uploads::play(&stage),
         "slow-stop" => slow_stop::play(&stage),
         "withdrawn-key" => withdrawn_key::play(&stage),
+        "crash-loop" => crash_loop::play(&stage),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
