--- a/review/lab/uploads.rs
+++ b/review/lab/uploads.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Client, Fleet, Load, Plan, Site, Tenant};
+use crate::fleet::{Client, ENTRY_SERVICE, Fleet, Load, Plan, Site, Tenant};
 use crate::{Stage, Verdict};
 
 /// Machines with an upstream of the service, and others on which the requests begin.
@@ -28,7 +28,7 @@
 
 pub fn play(stage: &Stage) -> Verdict {
     let recorder = &stage.recorder;
-    let entry = Site { zone: "waw-a", service: "cennik", work: WORK };
+    let entry = Site { zone: "waw-a", service: ENTRY_SERVICE, work: WORK };
     let sites = [vec![Site::new(WORK); SERVERS], vec![entry; ENTRIES]].concat();
     let plan = Plan {
         sites,
