A leave that is the first message after a daemon's restart holds

A daemon is killed and started again beside its backend server; the server says that it is gone, gets 200, and then a heartbeat that it had sent before the kill arrives. From then on the daemon sends it all requests: 20 of 20 ran later than drain_s after the acknowledgement.

Cause: a leave names an identity alone, and the tracker turned it into an incarnation by means of the newest heartbeat. A process that had heard of none dropped the leave, wrote nothing, and answered 200 all the same. The same happened where the leave overtakes a heartbeat that waits for the first read of the directory.

Ruled out: that the record was written and lost (the directory has no leave after the 200), and that the heartbeat was taken for a new start because of its `born` (it is the old one's).

Why it works: a leave whose start is not known is kept as what it says: every start under that identity up to the arrival, by the clock that the server shares. It is written into the daemon's record like any leave and restored from it. Other identities and later starts are not touched. If the time of day is set back in between, the bound moves back with it, and after a minute it ends. A leave that becomes known late no longer hides a newer one, and all writes of the record wait until the record of the earlier process was read, so that none of them drops its leave. Daemons that link tell the leaves besides the limit, not in place of it. Stale heartbeats now have a log line.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -55,6 +55,37 @@
     }
 }
 
+/// The time of day and a monotonic clock, read together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Time since the Unix epoch; it may be set forward or back.
+    pub wall: MilliTime,
+    /// Time on the monotonic clock.
+    pub steady: MilliTime,
+}
+
+impl ClockReading {
+    /// Reads both clocks.
+    pub fn now(clock: &MilliClock) -> Self {
+        ClockReading { wall: wall_time(), steady: clock.now() }
+    }
+
+    /// By how much the time of day was set back between this reading and a later one; zero if it was
+    /// set forward.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lentilway::clock::{ClockReading, MilliTime};
+    /// let reading = |wall, steady| ClockReading { wall: MilliTime(wall), steady: MilliTime(steady) };
+    /// let first = reading(1_000, 0);
+    /// assert_eq!(first.set_back_until(reading(600, 100)), Duration::from_millis(500));
+    /// assert_eq!(first.set_back_until(reading(1_600, 100)), Duration::ZERO);
+    /// ```
+    pub fn set_back_until(self, later: ClockReading) -> Duration {
+        (self.wall + later.steady.since(self.steady)).since(later.wall)
+    }
+}
+
 /// A source of time: a monotonic clock of the system, or one that a test advances.
 #[derive(Clone, Debug)]
 pub struct MilliClock {
--- a/src/policy/incarnation.rs
+++ b/src/policy/incarnation.rs
@@ -1,12 +1,20 @@
 //! Orders the announcements of a backend server.
 //!
 //! Handles announcements that arrive late or twice: from a dead incarnation after a new one started
-//! at the same address, or from before a leave.
+//! at the same address, or from before a leave, also if the leave is the first thing that a new
+//! process hears of the server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::{ClockReading, MilliTime};
+
+/// How long a leave of an unknown start holds: longer than announcements may be delayed. It bounds
+/// the time in which a server with a wrong clock is not used.
+const IDENTITY_LEAVE_SPAN: Duration = Duration::from_secs(60);
+
 /// One start of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendIncarnation {
@@ -16,6 +24,66 @@
     pub born: u64,
 }
 
+/// A leave from which the start of the server is not known. It covers all starts under this identity
+/// up to a time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IdentityLeave {
+    /// The identity that left.
+    pub id: Arc<str>,
+    /// When the leave arrived, in milliseconds since the Unix epoch by the clock of the machine, which
+    /// the server shares.
+    pub until: u64,
+}
+
+/// The leaves at one machine, in the form in which they outlast a process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LeaveRecord {
+    /// The newest incarnation that left.
+    #[serde(rename = "left")]
+    pub incarnation: Option<BackendIncarnation>,
+    /// The newest leave of an unknown start.
+    #[serde(rename = "left_identity")]
+    pub identity: Option<IdentityLeave>,
+}
+
+impl LeaveRecord {
+    /// The record of an incarnation that left.
+    pub fn of(incarnation: BackendIncarnation) -> Self {
+        LeaveRecord { incarnation: Some(incarnation), identity: None }
+    }
+
+    /// Whether there is no leave.
+    pub fn is_empty(&self) -> bool {
+        self.incarnation.is_none() && self.identity.is_none()
+    }
+
+    /// Takes over the leaves of `other` that are newer; returns whether there are any.
+    ///
+    /// ```
+    /// use lentilway::policy::incarnation::{BackendIncarnation, LeaveRecord};
+    /// let leave = |born| LeaveRecord::of(BackendIncarnation { id: "a".into(), born });
+    /// let mut record = leave(10);
+    /// assert!(!record.merge(&leave(9)));
+    /// assert!(record.merge(&leave(11)));
+    /// assert_eq!(record, leave(11));
+    /// ```
+    pub fn merge(&mut self, other: &LeaveRecord) -> bool {
+        let born = |left: &BackendIncarnation| left.born;
+        let until = |leave: &IdentityLeave| leave.until;
+        let has_incarnation =
+            other.incarnation.as_ref().map(born) > self.incarnation.as_ref().map(born);
+        let has_identity = other.identity.as_ref().map(until) > self.identity.as_ref().map(until);
+        if has_incarnation {
+            self.incarnation = other.incarnation.clone();
+        }
+        if has_identity {
+            self.identity = other.identity.clone();
+        }
+        has_incarnation || has_identity
+    }
+}
+
 /// Decision on an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnouncementDecision {
@@ -27,28 +95,37 @@
     Stale,
 }
 
-/// The newest announcement and the latest incarnation that left.
+/// The newest announcement and the latest leaves.
 #[derive(Clone, Debug, Default)]
 pub struct IncarnationTracker {
     current: Option<(BackendIncarnation, u64)>,
-    left: Option<BackendIncarnation>,
+    leaves: LeaveRecord,
+    /// When this process learned of the leave of an unknown start.
+    identity_noted: ClockReading,
 }
 
 impl IncarnationTracker {
     /// Classifies the announcement with this number and records it unless it is stale.
     ///
     /// ```
+    /// use lentilway::clock::ClockReading;
     /// use lentilway::policy::incarnation::{
     ///     AnnouncementDecision, BackendIncarnation, IncarnationTracker,
     /// };
+    /// let now = ClockReading::default();
     /// let one = BackendIncarnation { id: "a".into(), born: 10 };
     /// let mut tracker = IncarnationTracker::default();
-    /// assert_eq!(tracker.announce(&one, 1), AnnouncementDecision::Replace);
-    /// assert_eq!(tracker.announce(&one, 2), AnnouncementDecision::Update);
-    /// assert_eq!(tracker.announce(&one, 1), AnnouncementDecision::Stale);
+    /// assert_eq!(tracker.announce(now, &one, 1), AnnouncementDecision::Replace);
+    /// assert_eq!(tracker.announce(now, &one, 2), AnnouncementDecision::Update);
+    /// assert_eq!(tracker.announce(now, &one, 1), AnnouncementDecision::Stale);
     /// ```
-    pub fn announce(&mut self, from: &BackendIncarnation, number: u64) -> AnnouncementDecision {
-        if self.has_left(from) {
+    pub fn announce(
+        &mut self,
+        now: ClockReading,
+        from: &BackendIncarnation,
+        number: u64,
+    ) -> AnnouncementDecision {
+        if self.has_left(from) || self.covers_identity(now, from) {
             return AnnouncementDecision::Stale;
         }
         let decision = match &self.current {
@@ -65,29 +142,78 @@
         decision
     }
 
-    /// Records that the incarnation with this identity leaves; returns it if it is the current one.
-    pub fn leave(&mut self, id: &str) -> Option<BackendIncarnation> {
-        let (current, _) = self.current.as_ref().filter(|(current, _)| &*current.id == id)?;
-        let left = current.clone();
-        self.left = Some(left.clone());
-        Some(left)
+    /// The leave that a server with this identity states: of the current incarnation if that is the
+    /// server, otherwise of all starts under the identity until now.
+    ///
+    /// ```
+    /// use lentilway::clock::{ClockReading, MilliTime};
+    /// use lentilway::policy::incarnation::{
+    ///     AnnouncementDecision, BackendIncarnation, IncarnationTracker,
+    /// };
+    /// let now = ClockReading { wall: MilliTime(50), steady: MilliTime(0) };
+    /// let mut tracker = IncarnationTracker::default();
+    /// let leave = tracker.leave_of(now, "a");
+    /// tracker.record_leaves(now, &leave);
+    /// let late = BackendIncarnation { id: "a".into(), born: 10 };
+    /// assert_eq!(tracker.announce(now, &late, 7), AnnouncementDecision::Stale);
+    /// ```
+    pub fn leave_of(&self, now: ClockReading, id: &str) -> LeaveRecord {
+        match &self.current {
+            Some((current, _)) if &*current.id == id => LeaveRecord::of(current.clone()),
+            _ => {
+                let identity = IdentityLeave { id: id.into(), until: now.wall.0 };
+                LeaveRecord { incarnation: None, identity: Some(identity) }
+            }
+        }
+    }
+
+    /// Records leaves, unless newer ones are known; returns whether any was recorded.
+    pub fn record_leaves(&mut self, now: ClockReading, leaves: &LeaveRecord) -> bool {
+        let identity = self.leaves.identity.clone();
+        let is_new = self.leaves.merge(leaves);
+        if self.leaves.identity != identity {
+            self.identity_noted = now;
+        }
+        is_new
+    }
+
+    /// The recorded leaves.
+    pub fn leaves(&self) -> &LeaveRecord {
+        &self.leaves
+    }
+
+    /// The incarnation that sent the newest announcement.
+    pub fn current(&self) -> Option<&BackendIncarnation> {
+        self.current.as_ref().map(|(current, _)| current)
     }
 
     /// Whether this incarnation sent the newest announcement.
     pub fn is_current(&self, incarnation: &BackendIncarnation) -> bool {
-        self.current.as_ref().is_some_and(|(current, _)| current == incarnation)
+        self.current() == Some(incarnation)
     }
 
-    /// Restores a leave that an earlier process recorded.
-    pub fn restore_left(&mut self, left: BackendIncarnation) {
-        self.left = Some(left);
+    /// Whether the current incarnation has left.
+    pub fn has_current_left(&self, now: ClockReading) -> bool {
+        self.current()
+            .is_some_and(|current| self.has_left(current) || self.covers_identity(now, current))
     }
 
     /// Whether this incarnation or a later one has left.
     pub fn has_left(&self, incarnation: &BackendIncarnation) -> bool {
-        self.left.as_ref().is_some_and(|left| {
+        self.leaves.incarnation.as_ref().is_some_and(|left| {
             left.born > incarnation.born
                 || (left.id == incarnation.id && left.born == incarnation.born)
         })
     }
+
+    /// Whether the leave of an unknown start covers the incarnation. A start after the time of day was
+    /// set back is dated too early by that much.
+    fn covers_identity(&self, now: ClockReading, incarnation: &BackendIncarnation) -> bool {
+        let noted = self.identity_noted;
+        let is_recent = now.steady.since(noted.steady) <= IDENTITY_LEAVE_SPAN;
+        self.leaves.identity.as_ref().is_some_and(|leave| {
+            let until = MilliTime(leave.until).before(noted.set_back_until(now));
+            is_recent && leave.id == incarnation.id && incarnation.born <= until.0
+        })
+    }
 }
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -12,6 +12,7 @@
 use crate::policy::backend_notice::KnownNotice;
 use crate::policy::body_limit::SMALL_BODY_BYTES;
 use crate::policy::crash_ledger::CrashReport;
+use crate::policy::incarnation::LeaveRecord;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::request_identity::RequestIdentity;
 use crate::policy::root_admission::CostList;
@@ -63,8 +64,10 @@
     /// Requests tokens for the sender.
     #[serde(rename = "WantTokens")]
     RequestTokens(Vec<TokenAmount>),
-    /// What the sender knows of the receiver's backend server; sent when it has linked.
+    /// What the receiver's backend server last told the sender; sent when it has linked.
     Notice(KnownNotice),
+    /// The leaves at the receiver that the sender knows of; sent when it has linked.
+    Leaves(LeaveRecord),
     /// The sender's backend server ended.
     Crash(CrashReport),
     /// A run of a suspect ended well at the sender's backend server.
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -201,9 +201,12 @@
             link.send(shared.store_reports(Some(number), version, directory));
         }
         PeerMessage::Hello { .. } => {
-            if let Some(notice) = shared.notice_for(peer) {
+            if let Some(notice) = shared.notice_of(peer.key) {
                 link.send(PeerMessage::Notice(notice));
             }
+            if let Some(leaves) = shared.leaves_at(&peer.name) {
+                link.send(PeerMessage::Leaves(leaves));
+            }
         }
         PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
         PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
@@ -211,6 +214,7 @@
         | PeerMessage::Call(_)
         | PeerMessage::Cancel(_)
         | PeerMessage::Notice(_)
+        | PeerMessage::Leaves(_)
         | PeerMessage::RequestTokens(_) => {}
     }
 }
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -15,6 +15,7 @@
 use crate::connection::listener::accept;
 use crate::policy::store_position::StorePosition;
 use crate::sidecar::process::backend_call::BackendCall;
+use crate::sidecar::process::backend_watch::note_leaves;
 use crate::sidecar::process::notice_watch::learn_notice;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 
@@ -154,6 +155,7 @@
                         shared.merge_reports(requested, configuration, directory);
                     }
                     PeerMessage::Notice(notice) => learn_notice(shared, notice),
+                    PeerMessage::Leaves(leaves) => note_leaves(shared, &leaves),
                     PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
                     PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
                     PeerMessage::Hello { .. }
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -8,16 +8,18 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
-use tokio::sync::{Notify, watch};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use super::decision_log::LineCategory;
 use super::directory::write_own_entry;
 use super::notice_watch::{log_limited, set_incarnation};
 use super::sidecar_shared::SidecarShared;
 use super::wire_dialect::{BackendAnnouncement, BackendHeartbeat};
-use crate::clock::MilliTime;
-use crate::policy::incarnation::{AnnouncementDecision, BackendIncarnation, IncarnationTracker};
+use crate::clock::{ClockReading, MilliTime};
+use crate::policy::incarnation::{
+    AnnouncementDecision, BackendIncarnation, IncarnationTracker, LeaveRecord,
+};
 use crate::sidecar::connection::backend_pool::BackendTarget;
 
 const ANNOUNCEMENT_BYTES_MAX: usize = 64 * 1024;
@@ -26,7 +28,10 @@
 const HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(4_500);
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// A leave is acknowledged after this time even if the store has not confirmed its record.
-const LEAVE_WRITE_TIMEOUT: Duration = Duration::from_millis(300);
+const LEAVE_RECORD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Delay after the first write of a leave that failed; it doubles up to the maximum.
+const RECORD_RETRY_DELAY: Duration = Duration::from_millis(150);
+const RECORD_RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
 /// Maximum wait of an announcement for the first read of the directory, which may contain a leave
 /// acknowledged before a restart.
 const DIRECTORY_WAIT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -36,7 +41,6 @@
     tracker: IncarnationTracker,
     last_heartbeat: Option<MilliTime>,
     is_open: bool,
-    left: Option<BackendIncarnation>,
 }
 
 /// State of the backend server beside this daemon.
@@ -44,8 +48,10 @@
 pub(crate) struct BackendWatch {
     state: Mutex<WatchState>,
     directory_read: watch::Sender<bool>,
-    /// Notified when an answer told of a leave.
-    leave_noted: Notify,
+    /// Incremented when this daemon's record in the store lacks a leave.
+    noted: watch::Sender<u64>,
+    /// The value of `noted` up to which the store holds all leaves.
+    held: watch::Sender<u64>,
 }
 
 #[derive(Serialize)]
@@ -58,28 +64,41 @@
     verdict: &'static str,
 }
 
+#[derive(Serialize)]
+struct LeaveLine<'a> {
+    leaves: &'a LeaveRecord,
+    verdict: &'static str,
+}
+
 #[derive(Serialize)]
 struct ProblemLine {
     problem: String,
 }
 
 impl BackendWatch {
-    /// The last incarnation that left.
-    pub(crate) fn left(&self) -> Option<BackendIncarnation> {
-        self.lock().left.clone()
+    /// The leaves to record for the next process.
+    pub(crate) fn leaves(&self) -> LeaveRecord {
+        self.lock().tracker.leaves().clone()
     }
 
-    /// Restores a leave recorded before a restart. Returns whether requests were admitted to that
-    /// incarnation meanwhile.
-    fn restore_left(&self, left: BackendIncarnation) -> bool {
-        let mut state = self.lock();
-        if state.left.is_some() {
-            return false;
-        }
-        let is_current = state.tracker.is_current(&left);
-        state.tracker.restore_left(left.clone());
-        state.left = Some(left);
-        is_current && std::mem::replace(&mut state.is_open, false)
+    /// Has this daemon's record written again, which lacks a leave.
+    pub(crate) fn request_record(&self) {
+        self.noted.send_modify(|number| *number += 1);
+    }
+
+    /// Records that the leaves up to this value of `noted` would outlast this process.
+    pub(crate) fn confirm_held(&self, number: u64) {
+        self.held.send_if_modified(|held| {
+            let is_later = number > *held;
+            *held = number.max(*held);
+            is_later
+        });
+    }
+
+    /// Whether the leaves up to this value of `noted` are held within `limit`.
+    async fn is_held_within(&self, number: u64, limit: Duration) -> bool {
+        let mut held = self.held.subscribe();
+        timeout(limit, held.wait_for(|held| *held >= number)).await.is_ok()
     }
 
     /// Releases announcements that wait for the first read of the directory.
@@ -97,7 +116,7 @@
     /// Whether the backend server announced its leave.
     pub(crate) fn has_left(&self) -> bool {
         let state = self.lock();
-        state.left.is_some() && !state.is_open
+        !state.tracker.leaves().is_empty() && !state.is_open
     }
 
     async fn wait_directory(&self) {
@@ -111,12 +130,20 @@
     }
 }
 
-/// Restores a leave recorded before a restart, and suspends admission if it was opened since.
-pub(crate) fn restore_left(shared: &SidecarShared, left: BackendIncarnation) {
-    if shared.backend_watch.restore_left(left) {
+/// Restores leaves recorded before a restart; returns whether any was new.
+pub(crate) fn restore_leaves(shared: &SidecarShared, leaves: &LeaveRecord) -> bool {
+    let now = ClockReading::now(&shared.clock);
+    let (is_new, was_open) = {
+        let mut state = shared.backend_watch.lock();
+        let is_new = state.tracker.record_leaves(now, leaves);
+        let has_left = state.tracker.has_current_left(now);
+        (is_new, has_left && std::mem::replace(&mut state.is_open, false))
+    };
+    if was_open {
         shared.backend_admission.suspend();
         shared.observe_own_load();
     }
+    is_new
 }
 
 /// Suspends admission to an incarnation that ended, until the backend server announces itself.
@@ -131,33 +158,41 @@
     }
 }
 
-/// Suspends admission to an incarnation that said in an answer that it leaves, and has the leave
-/// recorded for a restart.
-pub(crate) fn note_leave(shared: &SidecarShared, left: &BackendIncarnation) {
-    let is_current = {
-        let mut state = shared.backend_watch.lock();
-        if state.tracker.has_left(left) {
-            return;
-        }
-        let is_current = state.tracker.is_current(left);
-        state.tracker.restore_left(left.clone());
-        state.left = Some(left.clone());
-        state.is_open &= !is_current;
-        is_current
-    };
-    if is_current {
-        shared.backend_admission.suspend();
-        shared.observe_own_load();
+/// Records leaves that an announcement, an answer or another daemon told of: suspends admission, and
+/// has them recorded for a restart.
+pub(crate) fn note_leaves(shared: &SidecarShared, leaves: &LeaveRecord) {
+    if restore_leaves(shared, leaves) {
+        let line = LeaveLine { leaves, verdict: "left" };
+        shared.log.write(LineCategory::Change, "backend-server", &line);
+        shared.backend_watch.request_record();
     }
-    log_leave(shared, left);
-    shared.backend_watch.leave_noted.notify_one();
 }
 
-/// Records leaves that were told in answers, until the task is aborted.
+/// Writes leaves into this daemon's directory record until the task is aborted.
 pub(crate) async fn record_leaves(shared: Arc<SidecarShared>) {
+    let watch = &shared.backend_watch;
+    let mut noted = watch.noted.subscribe();
+    let mut recorded = 0;
+    let mut delay = RECORD_RETRY_DELAY;
     loop {
-        shared.backend_watch.leave_noted.notified().await;
-        record_leave(&shared).await;
+        let number = *noted.borrow_and_update();
+        if number == recorded {
+            // The sender lives as long as `shared`.
+            let _ = noted.changed().await;
+            continue;
+        }
+        match write_own_entry(&shared).await {
+            Ok(_) => {
+                recorded = number;
+                watch.confirm_held(number);
+                delay = RECORD_RETRY_DELAY;
+            }
+            Err(error) => {
+                shared.store_failed("leave-record", &error);
+                sleep(delay.mul_f64(0.5 + rand::random::<f64>())).await;
+                delay = (delay * 2).min(RECORD_RETRY_DELAY_MAX);
+            }
+        }
     }
 }
 
@@ -179,8 +214,10 @@
             handle_heartbeat(&shared, &heartbeat).await
         }
         Some(Ok(BackendAnnouncement::Leave { id })) => {
-            handle_leave(&shared, &id).await;
-            answer(StatusCode::OK, "{}")
+            let now = ClockReading::now(&shared.clock);
+            let leaves = shared.backend_watch.lock().tracker.leave_of(now, &id);
+            note_leaves(&shared, &leaves);
+            acknowledge_leave(&shared).await
         }
     }
 }
@@ -209,25 +246,24 @@
             format!("announcement is not from the backend server at {}", settings.backend_address);
         return refuse(shared, problem);
     }
-    if heartbeat.is_draining {
-        let is_current = {
-            let mut state = shared.backend_watch.lock();
-            let decision = state.tracker.announce(&heartbeat.incarnation, heartbeat.number);
-            decision != AnnouncementDecision::Stale
-        };
-        if is_current {
-            handle_leave(shared, &heartbeat.incarnation.id).await;
-        }
-        return answer(StatusCode::OK, "{}");
-    }
+    let now = ClockReading::now(&shared.clock);
     let decision = {
         let mut state = shared.backend_watch.lock();
-        let decision = state.tracker.announce(&heartbeat.incarnation, heartbeat.number);
-        if decision != AnnouncementDecision::Stale {
-            state.last_heartbeat = Some(shared.clock.now());
+        let decision = state.tracker.announce(now, &heartbeat.incarnation, heartbeat.number);
+        if decision != AnnouncementDecision::Stale && !heartbeat.is_draining {
+            state.last_heartbeat = Some(now.steady);
         }
         decision
     };
+    if decision == AnnouncementDecision::Stale {
+        log_backend(shared, heartbeat, "stale");
+    }
+    if heartbeat.is_draining {
+        if decision != AnnouncementDecision::Stale {
+            note_leaves(shared, &LeaveRecord::of(heartbeat.incarnation.clone()));
+        }
+        return acknowledge_leave(shared).await;
+    }
     if decision != AnnouncementDecision::Stale {
         open_admission(shared, heartbeat, decision);
     }
@@ -248,18 +284,13 @@
     let target = BackendTarget { address: heartbeat.address, incarnation };
     shared.backend_admission.open(target, heartbeat.slots);
     shared.observe_own_load();
-    log_backend(shared, &heartbeat.incarnation, heartbeat, "open");
+    log_backend(shared, heartbeat, "open");
 }
 
-fn log_backend(
-    shared: &SidecarShared,
-    incarnation: &BackendIncarnation,
-    heartbeat: &BackendHeartbeat,
-    verdict: &'static str,
-) {
+fn log_backend(shared: &SidecarShared, heartbeat: &BackendHeartbeat, verdict: &'static str) {
     let line = BackendLine {
-        backend: &incarnation.id,
-        born: incarnation.born,
+        backend: &heartbeat.incarnation.id,
+        born: heartbeat.incarnation.born,
         number: heartbeat.number,
         slots: heartbeat.slots,
         cold_ms: heartbeat.cold_for.as_millis() as u64,
@@ -268,46 +299,14 @@
     shared.log.write(LineCategory::Change, "backend-server", &line);
 }
 
-/// Suspends admission before the leave is acknowledged, and records the leave for a restart.
-async fn handle_leave(shared: &Arc<SidecarShared>, id: &str) {
-    let left = {
-        let mut state = shared.backend_watch.lock();
-        let Some(left) = state.tracker.leave(id) else {
-            return;
-        };
-        let is_repeated = state.left.as_ref() == Some(&left);
-        state.left = Some(left.clone());
-        state.is_open = false;
-        if is_repeated {
-            return;
-        }
-        left
-    };
-    shared.backend_admission.suspend();
-    shared.observe_own_load();
-    log_leave(shared, &left);
-    record_leave(shared).await;
-}
-
-fn log_leave(shared: &SidecarShared, left: &BackendIncarnation) {
-    let line = BackendLine {
-        backend: &left.id,
-        born: left.born,
-        number: 0,
-        slots: 0,
-        cold_ms: 0,
-        verdict: "left",
-    };
-    shared.log.write(LineCategory::Change, "backend-server", &line);
-}
-
-/// Writes the leave into this daemon's record.
-async fn record_leave(shared: &SidecarShared) {
-    match timeout(LEAVE_WRITE_TIMEOUT, write_own_entry(shared, &shared.own_entry())).await {
-        Ok(Ok(_)) => {}
-        Ok(Err(error)) => shared.store_failed("leave-record", &error),
-        Err(_) => shared.metrics.count("leave_record_late"),
+/// Acknowledges a leave once the store has recorded it, or after a time.
+async fn acknowledge_leave(shared: &SidecarShared) -> Response<Full<Bytes>> {
+    let watch = &shared.backend_watch;
+    let number = *watch.noted.borrow();
+    if !watch.is_held_within(number, LEAVE_RECORD_TIMEOUT).await {
+        shared.metrics.count("leave_record_late");
     }
+    answer(StatusCode::OK, "{}")
 }
 
 /// Suspends admission when heartbeats stop. Runs until the task is aborted.
--- a/src/sidecar/process/crash_watch.rs
+++ b/src/sidecar/process/crash_watch.rs
@@ -326,7 +326,7 @@
     loop {
         shared.crash_watch.reported.notified().await;
         for _ in 0..RECORD_ATTEMPTS_MAX {
-            let written = write_own_entry(&shared, &shared.own_entry()).await;
+            let written = write_own_entry(&shared).await;
             sleep(RECORD_INTERVAL).await;
             match written {
                 Ok(_) => break,
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -8,14 +8,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use super::backend_watch::restore_left;
+use super::backend_watch::restore_leaves;
 use super::crash_watch::OwnReports;
 use super::decision_log::LineCategory;
 use super::keyed_store::{StoreError, StoreTopic};
 use super::sidecar_shared::SidecarShared;
 use super::topic_replica::TopicChange;
 use crate::clock::MilliTime;
-use crate::policy::incarnation::BackendIncarnation;
+use crate::policy::incarnation::LeaveRecord;
 use crate::policy::read_schedule::spread_by_key;
 use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::sidecar::connection::peer_link::maintain_link;
@@ -44,9 +44,9 @@
     pub(crate) address: SocketAddr,
     pub(crate) service: Arc<str>,
     pub(crate) availability_zone: Arc<str>,
-    /// The last backend server there that left; the daemon restores it after a restart.
-    #[serde(default)]
-    pub(crate) left: Option<BackendIncarnation>,
+    /// The last leaves of backend servers there; the daemon restores them after a restart.
+    #[serde(flatten)]
+    pub(crate) leaves: LeaveRecord,
     /// Ends of its backend server.
     #[serde(default)]
     pub(crate) crashes: OwnReports,
@@ -92,8 +92,8 @@
     era: StoreEra,
     /// Names of entries from before the store came back, and until when they are kept.
     carried: HashMap<Arc<str>, MilliTime>,
-    /// The last backend server that left at each daemon, also if its record was lost.
-    leaves: HashMap<Arc<str>, BackendIncarnation>,
+    /// The last leaves at each daemon, also if its record was lost.
+    leaves: HashMap<Arc<str>, LeaveRecord>,
 }
 
 impl DirectoryView {
@@ -114,7 +114,7 @@
             };
             match serde_json::from_slice::<DirectoryEntry>(value) {
                 Ok(entry) if *entry.name == *record.key => {
-                    self.remember_leave(&entry);
+                    self.hold_leaves(&entry.name, &entry.leaves);
                     for report in &entry.crashes {
                         shared.crash_watch.learn(shared, report);
                     }
@@ -141,18 +141,15 @@
         self.entries.push(entry);
     }
 
-    fn remember_leave(&mut self, entry: &DirectoryEntry) {
-        let Some(left) = &entry.left else {
-            return;
-        };
-        let known = self.leaves.entry(entry.name.clone()).or_insert_with(|| left.clone());
-        if left.born > known.born {
-            *known = left.clone();
+    /// Holds leaves at the daemon `name` for as long as it is listed.
+    pub(crate) fn hold_leaves(&mut self, name: &Arc<str>, leaves: &LeaveRecord) {
+        if !leaves.is_empty() {
+            self.leaves.entry(name.clone()).or_default().merge(leaves);
         }
     }
 
-    /// The last backend server that left at the daemon `name`.
-    pub(crate) fn left_at(&self, name: &str) -> Option<&BackendIncarnation> {
+    /// The last leaves of backend servers at the daemon `name`.
+    pub(crate) fn leaves_at(&self, name: &str) -> Option<&LeaveRecord> {
         self.leaves.get(name)
     }
 
@@ -211,8 +208,8 @@
 pub(crate) fn apply_directory(shared: &Arc<SidecarShared>, change: &TopicChange) {
     let mut view = shared.directory.lock().expect("lock not poisoned");
     view.apply(shared, change);
-    if let Some(left) = view.left_at(&shared.settings.name) {
-        restore_left(shared, left.clone());
+    if let Some(leaves) = view.leaves_at(&shared.settings.name) {
+        restore_leaves(shared, leaves);
     }
     if let Some(own) = view.own_entry(shared) {
         shared.crash_watch.restore_own(&own.crashes);
@@ -246,7 +243,7 @@
         if let Some(era) = registered_era(shared) {
             return era;
         }
-        match write_own_entry(shared, &shared.own_entry()).await {
+        match write_own_entry(shared).await {
             Ok(era) => return era,
             Err(error) => {
                 shared.store_failed("registration", &error);
@@ -326,18 +323,18 @@
         if is_recorded() {
             continue;
         }
-        if let Err(error) = write_own_entry(&shared, &shared.own_entry()).await {
+        if let Err(error) = write_own_entry(&shared).await {
             shared.store_failed("known-version", &error);
         }
     }
 }
 
-/// Writes this daemon's record; returns the era of the store that acknowledged it.
-pub(crate) async fn write_own_entry(
-    shared: &SidecarShared,
-    own: &DirectoryEntry,
-) -> Result<StoreEra, StoreError> {
-    let value = serde_json::to_vec(own)
+/// Writes this daemon's record once the record of an earlier process, which may hold leaves, was
+/// read; returns the era of the store that acknowledged it.
+pub(crate) async fn write_own_entry(shared: &SidecarShared) -> Result<StoreEra, StoreError> {
+    shared.backend_watch.directory_was_read().await;
+    let own = shared.own_entry();
+    let value = serde_json::to_vec(&own)
         .map_err(|error| StoreError::Unreadable { reason: error.to_string() })?;
     shared.store.put(StoreTopic::Directory, &own.name, Some(&value)).await
 }
--- a/src/sidecar/process/notice_watch.rs
+++ b/src/sidecar/process/notice_watch.rs
@@ -5,14 +5,14 @@
 
 use serde::Serialize;
 
-use super::backend_watch::note_leave;
+use super::backend_watch::note_leaves;
 use super::decision_log::LineCategory;
 use super::sidecar_shared::SidecarShared;
 use crate::clock::MilliTime;
 use crate::policy::backend_notice::{
     BackendNotice, KnownNotice, NoticeTracker, RequestLimit, StatedLimit,
 };
-use crate::policy::incarnation::BackendIncarnation;
+use crate::policy::incarnation::{BackendIncarnation, LeaveRecord};
 
 /// Time between log lines about the requests of a limited backend server.
 const LIMITED_LINE_INTERVAL: Duration = Duration::from_secs(4);
@@ -103,7 +103,7 @@
     let incarnation = notice.incarnation.clone();
     if notice.is_leaving {
         // Also if the server has not announced itself to this process yet.
-        note_leave(shared, &incarnation);
+        note_leaves(shared, &LeaveRecord::of(incarnation.clone()));
     }
     update(shared, &incarnation, NoticeSource::Call, |state| state.tracker.repeat(notice));
 }
@@ -126,7 +126,7 @@
         return;
     }
     if leaving {
-        note_leave(shared, from);
+        note_leaves(shared, &LeaveRecord::of(from.clone()));
     }
     // Under the lock, so that limits are set in the order in which they became known.
     shared.backend_admission.set_limit(limit);
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -30,6 +30,7 @@
 use crate::policy::backend_notice::{KnownNotice, NoticeMemory};
 use crate::policy::caller_retry::RetryDetector;
 use crate::policy::crash_ledger::RequestStanding;
+use crate::policy::incarnation::LeaveRecord;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::route_success::RouteSuccess;
@@ -310,7 +311,7 @@
             address: self.settings.peer_listen,
             service: self.settings.service.clone(),
             availability_zone: self.settings.availability_zone.clone(),
-            left: self.backend_watch.left(),
+            leaves: self.backend_watch.leaves(),
             crashes: self.crash_watch.own_reports(),
             known: self.store_view.witnessed_era().map(|era| KnownVersion { era, version }),
         }
@@ -352,15 +353,9 @@
         self.notice_memory.lock().expect("lock not poisoned").notice(instance)
     }
 
-    /// What to tell a daemon that this one has linked to about the backend server beside it: what its
-    /// last answer said, or that it left.
-    pub(crate) fn notice_for(&self, peer: &PeerEntry) -> Option<KnownNotice> {
-        let left = || {
-            let view = self.directory.lock().expect("lock not poisoned");
-            let incarnation = view.left_at(&peer.name)?.clone();
-            Some(KnownNotice { incarnation, limit: None, is_leaving: true })
-        };
-        self.notice_of(peer.key).or_else(left)
+    /// The leaves known of backend servers beside another daemon.
+    pub(crate) fn leaves_at(&self, name: &str) -> Option<LeaveRecord> {
+        self.directory.lock().expect("lock not poisoned").leaves_at(name).cloned()
     }
 
     /// Remembers what the answer of an instance said of its backend server.
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo};
@@ -31,6 +31,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
+/// When the backend servers of a fleet started, in milliseconds since the Unix epoch.
+const FIRST_BORN: u64 = 1;
 pub(super) const HOST: &str = "shop.example";
 pub(super) const KEY: &str = "a-key";
 pub(super) const WITHDRAWN_KEY: &str = "another-key";
@@ -483,25 +485,50 @@
     /// Announces the backend server of a daemon; `number` must increase.
     pub(super) async fn announce(&self, daemon: &TestDaemon, number: u64, is_draining: bool) {
         let phase = if is_draining { "draining" } else { "ready" };
-        let body = json!({"address": daemon.backend.address.to_string(), "born": 1,
+        assert_eq!(self.announce_born(daemon, FIRST_BORN, number, phase).await, 200);
+    }
+
+    /// Announces a backend server that started at `born`; the status of the answer.
+    pub(super) async fn announce_born(
+        &self,
+        daemon: &TestDaemon,
+        born: u64,
+        number: u64,
+        phase: &str,
+    ) -> u16 {
+        let body = json!({"address": daemon.backend.address.to_string(), "born": born,
             "info": {"service": *daemon.settings.service, "version": "v1", "zone": "zone",
                 "slots": 8},
             "status": {"phase": phase, "sequence": number, "cold_remaining_s": 0}});
+        self.tell(daemon, Method::PUT, body.to_string()).await
+    }
+
+    /// Has the backend server of a daemon say that it is gone; the status of the answer.
+    pub(super) async fn leave(&self, daemon: &TestDaemon) -> u16 {
+        self.tell(daemon, Method::DELETE, String::new()).await
+    }
+
+    async fn tell(&self, daemon: &TestDaemon, method: Method, body: String) -> u16 {
         let address = daemon.settings.announce_listen;
         let uri = format!("http://{address}/api/instances/i-{}", daemon.settings.name);
-        let request = Request::put(uri).body(Full::new(body.to_string().into())).unwrap();
-        let answer = self.client.request(request).await.unwrap();
-        assert_eq!(answer.status(), 200);
+        let request = Request::builder().method(method).uri(uri);
+        let request = request.body(Full::new(body.into())).unwrap();
+        self.client.request(request).await.unwrap().status().as_u16()
     }
 
     /// Kills a daemon and starts it again beside the same backend server.
     pub(super) async fn restart(&self, stopped: TestDaemon) -> TestDaemon {
+        let restarted = self.restart_silent(stopped).await;
+        self.announce(&restarted, 2, false).await;
+        restarted
+    }
+
+    /// Kills a daemon and starts it again; its backend server does not announce itself.
+    pub(super) async fn restart_silent(&self, stopped: TestDaemon) -> TestDaemon {
         let TestDaemon { daemon, settings, backend } = stopped;
         daemon.abort().await;
         let (name, service) = (settings.name, settings.service);
-        let restarted = self.start_with(&name, &service, backend, settings.peer_listen).await;
-        self.announce(&restarted, 2, false).await;
-        restarted
+        self.start_with(&name, &service, backend, settings.peer_listen).await
     }
 
     /// Has the ids of the requests that follow count from `number`.
--- a/tests/suite/sidecar/leaves.rs
+++ b/tests/suite/sidecar/leaves.rs
@@ -1,10 +1,13 @@
-//! A backend server that says in its answers that it leaves, whatever it announces.
+//! Backend servers that leave: that say so in their answers, whatever they announce, and whose leave
+//! must outlast a restart of the daemon.
 
 use std::time::Duration;
 
 use googletest::prelude::*;
 use tokio::time::sleep;
 
+use lentilway::clock::wall_time;
+
 use super::fleet::{BackendBehaviour, KEY, TestDaemon, TestFleet};
 
 const LEAVING: &[(&str, &str)] = &[("server-leaving", "1")];
@@ -76,3 +79,88 @@
     }
     expect_that!(leaving.backend.arrivals(), eq(before));
 }
+
+/// The number of a heartbeat that the server sent before it left and that arrives late.
+const LATE_NUMBER: u64 = 2;
+/// Requests that would reach a server that is in use again.
+const REQUESTS: usize = 20;
+
+/// A fleet in which the server beside the first daemon is the only one for requests at the second.
+async fn start_pair(fleet: &TestFleet) -> (TestDaemon, TestDaemon) {
+    let leaving = fleet.start("one", "stock").await;
+    let entry = fleet.start("two", "prices").await;
+    fleet.until(&entry, "/read/1", KEY, 200).await;
+    (leaving, entry)
+}
+
+/// Has a heartbeat from before the leave arrive, and expects that no request reaches the server.
+async fn expect_unused(fleet: &TestFleet, leaving: &TestDaemon, entry: &TestDaemon) {
+    let before = leaving.backend.arrivals();
+    fleet.announce(leaving, LATE_NUMBER, false).await;
+    for _ in 0..REQUESTS {
+        expect_that!(fleet.send(entry, "/read/1", KEY).await.status, eq(503));
+        sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(leaving.backend.arrivals(), eq(before));
+}
+
+/// Review 1: a leave that is the first message after a restart was acknowledged and forgotten.
+#[gtest]
+#[tokio::test]
+async fn restart_leave_first() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    let leaving = fleet.restart_silent(leaving).await;
+    expect_that!(fleet.leave(&leaving).await, eq(200));
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
+/// A heartbeat that waits for the directory must not undo the leave that overtakes it.
+#[gtest]
+#[tokio::test]
+async fn restart_leave_overtakes_heartbeat() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    fleet.store.set_down(true);
+    let leaving = fleet.restart_silent(leaving).await;
+    let waiting = fleet.announce(&leaving, LATE_NUMBER, false);
+    let leave = async {
+        sleep(Duration::from_millis(50)).await;
+        fleet.leave(&leaving).await
+    };
+    tokio::join!(waiting, leave);
+    fleet.store.set_down(false);
+    fleet.until(&leaving, "/missing/1", KEY, 404).await;
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
+/// The daemon is killed again after it acknowledged a leave of a server that it never heard of.
+#[gtest]
+#[tokio::test]
+async fn restart_twice_leave_between() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    let leaving = fleet.restart_silent(leaving).await;
+    expect_that!(fleet.leave(&leaving).await, eq(200));
+    let leaving = fleet.restart_silent(leaving).await;
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
+/// The opposite fault: a new start under the identity of a leave is used at once.
+#[gtest]
+#[tokio::test]
+async fn restart_leave_first_new_start() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    let leaving = fleet.restart_silent(leaving).await;
+    expect_that!(fleet.leave(&leaving).await, eq(200));
+    sleep(Duration::from_millis(5)).await;
+    let born = wall_time().0;
+    expect_that!(fleet.announce_born(&leaving, born, 1, "ready").await, eq(200));
+    let served = fleet.until(&entry, "/read/1", KEY, 200);
+    let limit = Duration::from_secs(1);
+    expect_that!(tokio::time::timeout(limit, served).await, ok(anything()));
+    // A late heartbeat of the earlier start changes nothing.
+    fleet.announce(&leaving, LATE_NUMBER, false).await;
+    expect_that!(fleet.send(&entry, "/read/1", KEY).await.status, eq(200));
+}
