A leave is acknowledged only once another holder would know it

Callers would see: the store is down or slow, a backend server announces its leave and gets 200 after 0.3 s, the daemon is killed.

Cause: the acknowledgement did not wait for the record, although the record is all that a restart leaves.

Change: the daemon answers 200 once the store has confirmed the record. If it has not within 0.3 s, the daemons that have linked to this one are asked to hold the leave, which they tell the next process as soon as they link to it; one answer is enough. Without either the answer is 503 within 0.8 s, the leave counts at once all the same, and the record is written again until the store takes it (0.15 to 2.4 s between tries, spread). A server that gets no acknowledgement exits by itself, and repeats its announcement until then. Asking costs nothing while the store answers.

Ruled out: refusing whenever the store is down. It is simpler, but sidecar::stops::restart_store_down_server_left wants the acknowledgement, and servers would wait for as long as an outage lasts.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -68,6 +68,14 @@
     Notice(KnownNotice),
     /// The leaves at the receiver that the sender knows of; sent when it has linked.
     Leaves(LeaveRecord),
+    /// Asks the receiver, which has linked to the sender, to hold the sender's leaves.
+    HoldLeaves {
+        /// Echoed in the answer.
+        number: u64,
+        leaves: LeaveRecord,
+    },
+    /// The sender holds the leaves.
+    LeavesHeld { number: u64 },
     /// The sender's backend server ended.
     Crash(CrashReport),
     /// A run of a suspect ended well at the sender's backend server.
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -208,6 +208,10 @@
                 link.send(PeerMessage::Leaves(leaves));
             }
         }
+        PeerMessage::HoldLeaves { number, leaves } => {
+            shared.hold_leaves(&peer.name, &leaves);
+            link.send(PeerMessage::LeavesHeld { number });
+        }
         PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
         PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
         PeerMessage::Alive
@@ -215,6 +219,7 @@
         | PeerMessage::Cancel(_)
         | PeerMessage::Notice(_)
         | PeerMessage::Leaves(_)
+        | PeerMessage::LeavesHeld { .. }
         | PeerMessage::RequestTokens(_) => {}
     }
 }
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -155,13 +155,15 @@
                         shared.merge_reports(requested, configuration, directory);
                     }
                     PeerMessage::Notice(notice) => learn_notice(shared, notice),
+                    PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
                     PeerMessage::Leaves(leaves) => note_leaves(shared, &leaves),
                     PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
                     PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
                     PeerMessage::Hello { .. }
                     | PeerMessage::Alive
                     | PeerMessage::Load(_)
-                    | PeerMessage::Answer(_) => {}
+                    | PeerMessage::Answer(_)
+                    | PeerMessage::HoldLeaves { .. } => {}
                 }
             }
             Some(number) = ended.recv() => {
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -21,14 +21,18 @@
     AnnouncementDecision, BackendIncarnation, IncarnationTracker, LeaveRecord,
 };
 use crate::sidecar::connection::backend_pool::BackendTarget;
+use crate::sidecar::connection::frame::PeerMessage;
 
 const ANNOUNCEMENT_BYTES_MAX: usize = 64 * 1024;
 /// A backend server without a heartbeat for this long is considered crashed: two heartbeats, with
 /// their usual delay, are missing.
 const HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(4_500);
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
-/// A leave is acknowledged after this time even if the store has not confirmed its record.
+/// Time for the store to record a leave, after which other daemons are asked to hold it.
 const LEAVE_RECORD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for another daemon to hold a leave. One that nobody holds is not acknowledged: it would be
+/// forgotten if this process ended. Backend servers ignore answers that take longer than a second.
+const LEAVE_HOLD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after the first write of a leave that failed; it doubles up to the maximum.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(150);
 const RECORD_RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
@@ -50,7 +54,7 @@
     directory_read: watch::Sender<bool>,
     /// Incremented when this daemon's record in the store lacks a leave.
     noted: watch::Sender<u64>,
-    /// The value of `noted` up to which the store holds all leaves.
+    /// The value of `noted` up to which the store or another daemon holds all leaves.
     held: watch::Sender<u64>,
 }
 
@@ -299,14 +303,21 @@
     shared.log.write(LineCategory::Change, "backend-server", &line);
 }
 
-/// Acknowledges a leave once the store has recorded it, or after a time.
+/// Acknowledges a leave once a restarted daemon would know it too: from the store or, if that does
+/// not answer, from a daemon that will link to it.
 async fn acknowledge_leave(shared: &SidecarShared) -> Response<Full<Bytes>> {
     let watch = &shared.backend_watch;
     let number = *watch.noted.borrow();
-    if !watch.is_held_within(number, LEAVE_RECORD_TIMEOUT).await {
-        shared.metrics.count("leave_record_late");
+    if watch.is_held_within(number, LEAVE_RECORD_TIMEOUT).await {
+        return answer(StatusCode::OK, "{}");
     }
-    answer(StatusCode::OK, "{}")
+    shared.crash_watch.tell_followers(PeerMessage::HoldLeaves { number, leaves: watch.leaves() });
+    if watch.is_held_within(number, LEAVE_HOLD_TIMEOUT).await {
+        shared.metrics.count("leave_held_by_peers");
+        return answer(StatusCode::OK, "{}");
+    }
+    shared.metrics.count("leave_not_held");
+    answer(StatusCode::SERVICE_UNAVAILABLE, "{}")
 }
 
 /// Suspends admission when heartbeats stop. Runs until the task is aborted.
--- a/src/sidecar/process/crash_watch.rs
+++ b/src/sidecar/process/crash_watch.rs
@@ -154,6 +154,12 @@
         self.acquit(shared, identity);
     }
 
+    /// Sends a message to the daemons that have linked to this one.
+    pub(crate) fn tell_followers(&self, message: PeerMessage) {
+        // Fails only if there are none.
+        let _ = self.news.send(message);
+    }
+
     /// Messages for a daemon that has linked to this one.
     pub(crate) fn subscribe(&self) -> broadcast::Receiver<PeerMessage> {
         self.news.subscribe()
@@ -290,8 +296,7 @@
             link.send(message.clone());
         }
     }
-    // Fails only if no daemon has linked to this one.
-    let _ = shared.crash_watch.news.send(message.clone());
+    shared.crash_watch.tell_followers(message.clone());
 }
 
 fn log_hold(shared: &SidecarShared, verdict: &HoldVerdict, running: &[Arc<RunRecord>]) {
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -358,6 +358,11 @@
         self.directory.lock().expect("lock not poisoned").leaves_at(name).cloned()
     }
 
+    /// Holds leaves at another daemon for its next process.
+    pub(crate) fn hold_leaves(&self, name: &Arc<str>, leaves: &LeaveRecord) {
+        self.directory.lock().expect("lock not poisoned").hold_leaves(name, leaves);
+    }
+
     /// Remembers what the answer of an instance said of its backend server.
     pub(crate) fn remember_notice(&self, instance: u64, heard: Option<KnownNotice>) {
         let now = self.clock.now();
--- a/tests/suite/sidecar/leaves.rs
+++ b/tests/suite/sidecar/leaves.rs
@@ -146,6 +146,44 @@
     expect_unused(&fleet, &leaving, &entry).await;
 }
 
+/// A leave was acknowledged that nobody else knew, so that a kill would have undone it.
+#[gtest]
+#[tokio::test]
+async fn leave_unrecorded_not_acknowledged() {
+    let fleet = TestFleet::new();
+    let alone = fleet.start("one", "stock").await;
+    fleet.until(&alone, "/read/1", KEY, 200).await;
+    fleet.store.set_down(true);
+    expect_that!(fleet.announce_born(&alone, 1, 2, "draining").await, eq(503));
+    expect_that!(fleet.send(&alone, "/read/1", KEY).await.status, eq(503), "it counts at once");
+    fleet.store.set_down(false);
+    let acknowledged = async {
+        while fleet.announce_born(&alone, 1, 3, "draining").await != 200 {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let limit = Duration::from_secs(5);
+    tokio::time::timeout(limit, acknowledged).await.expect("the leave is recorded in time");
+    let alone = fleet.restart_silent(alone).await;
+    fleet.until(&alone, "/read/1", KEY, 503).await;
+    expect_unused(&fleet, &alone, &alone).await;
+}
+
+/// While the store is down, another daemon holds an acknowledged leave.
+#[gtest]
+#[tokio::test]
+async fn leave_held_by_peer_store_down() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    fleet.store.set_down(true);
+    expect_that!(fleet.announce_born(&leaving, 1, 3, "draining").await, eq(200));
+    let leaving = fleet.restart_silent(leaving).await;
+    fleet.announce(&leaving, LATE_NUMBER, false).await;
+    // By then the other daemon has linked to the new process.
+    sleep(Duration::from_secs(2)).await;
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
 /// The opposite fault: a new start under the identity of a leave is used at once.
 #[gtest]
 #[tokio::test]
