A planned stop keeps the leave of a server that still runs

Callers would see: a backend server announces its leave and serves on for some seconds; its daemon alone is stopped and started again; a late heartbeat brings the server back (DRAIN).

Cause: SidecarDaemon::stop removed the directory record, and the leave with it, whenever the server had left. That is meant for machines that do not return, whose servers have ended before their daemons are stopped.

Change: the record is removed only if the server left and nothing listens at its address any more (one connection, 0.1 s at most).

Ruled out: a memory of removed records at the other daemons; the next process would serve until one of them links to it.

Evidence: sidecar::leaves::stop_keeps_leave_of_running_server fails on (requests reach the server) and passes here; sidecar:: 58 of 58.

--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -8,9 +8,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::backend_watch::{record_leaves, serve_announcement, watch_backend};
 use super::crash_watch::record_crashes;
@@ -44,6 +44,8 @@
 /// Time reserved before the process is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(250);
+/// The backend server is on the same machine.
+const BACKEND_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A running sidecar daemon.
 pub struct SidecarDaemon {
@@ -148,17 +150,22 @@
         self.shared.peers.clear();
     }
 
-    /// Removes the directory entry if the backend server left: such an instance does not return.
+    /// Removes the directory entry if the backend server left and ended: such an instance does not
+    /// return. Beside one that still runs the daemon may start again, and must know of the leave.
     async fn leave_directory(&self) {
-        if !self.shared.backend_watch.has_left() {
+        if !self.shared.backend_watch.has_left() || self.is_backend_listening().await {
             return;
         }
-        let removed =
-            tokio::time::timeout(DEREGISTER_TIMEOUT, remove_own_entry(&self.shared)).await;
+        let removed = timeout(DEREGISTER_TIMEOUT, remove_own_entry(&self.shared)).await;
         if let Ok(Err(error)) = removed {
             self.shared.store_failed("directory-removal", &error);
         }
     }
+
+    async fn is_backend_listening(&self) -> bool {
+        let connected = TcpStream::connect(self.shared.settings.backend_address);
+        matches!(timeout(BACKEND_PROBE_TIMEOUT, connected).await, Ok(Ok(_)))
+    }
 }
 
 async fn pace_backend(shared: Arc<SidecarShared>) {
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -531,6 +531,18 @@
         self.start_with(&name, &service, backend, settings.peer_listen).await
     }
 
+    /// Stops a daemon as planned and starts it again; its backend server does not announce itself.
+    pub(super) async fn stop_and_start(&self, stopped: TestDaemon) -> TestDaemon {
+        let TestDaemon { daemon, settings, backend } = stopped;
+        daemon.stop().await;
+        // Its aborted tasks close the listener soon after.
+        while std::net::TcpListener::bind(settings.peer_listen).is_err() {
+            sleep(POLL_INTERVAL).await;
+        }
+        let (name, service) = (settings.name, settings.service);
+        self.start_with(&name, &service, backend, settings.peer_listen).await
+    }
+
     /// Has the ids of the requests that follow count from `number`.
     pub(super) fn skip_ids_to(&self, number: usize) {
         self.next_id.store(number, Ordering::SeqCst);
--- a/tests/suite/sidecar/leaves.rs
+++ b/tests/suite/sidecar/leaves.rs
@@ -184,6 +184,17 @@
     expect_unused(&fleet, &leaving, &entry).await;
 }
 
+/// A planned stop removed the record of a leave while the server was still there.
+#[gtest]
+#[tokio::test]
+async fn stop_keeps_leave_of_running_server() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    expect_that!(fleet.announce_born(&leaving, 1, 3, "draining").await, eq(200));
+    let leaving = fleet.stop_and_start(leaving).await;
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
 /// The opposite fault: a new start under the identity of a leave is used at once.
 #[gtest]
 #[tokio::test]
