A late write of a daemon's record does not drop its leave

Callers would see: a server that left is used again after a restart of its daemon (DRAIN), although the leave had been recorded.

Cause: a write without an answer may be carried out seconds later, with the contents of its time. Landing behind the record of a leave, it is the newest one, and the next process restores it.

Change: a daemon that reads back its own record without the leaves that it knows, or reads its removal while it is not stopping, writes it again.

Ruled out: conditional writes; the store's condition is on the end of a partition that all daemons append to.

Evidence: sidecar::leaves::leave_record_overwritten_late fails on (the record stays as it was, 20 s) and passes here; sidecar:: 59 of 59.

--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -214,12 +214,24 @@
     if let Some(own) = view.own_entry(shared) {
         shared.crash_watch.restore_own(&own.crashes);
     }
+    if is_own_overwritten(shared, &view, change) {
+        shared.backend_watch.request_record();
+    }
     let is_listed = view.own_entry(shared).is_some();
     shared.quota.record_listed(is_listed);
     shared.listed.send_replace(is_listed);
     view.publish(shared);
 }
 
+/// Whether a write of an earlier time, which the store carried out late, took the place of this
+/// daemon's record and dropped its leaves.
+fn is_own_overwritten(shared: &SidecarShared, view: &DirectoryView, change: &TopicChange) -> bool {
+    let has_own = change.records.iter().any(|record| *record.key == *shared.settings.name);
+    let leaves = shared.backend_watch.leaves();
+    let is_lost = view.own_entry(shared).is_none_or(|own| own.leaves != leaves);
+    has_own && is_lost && !leaves.is_empty() && !shared.stop.is_raised()
+}
+
 fn report_unreadable(shared: &SidecarShared, key: &str, problem: &str) {
     let line = UnreadableRecordLine { topic: "directory", key, problem: problem.to_owned() };
     shared.log.write(LineCategory::Failure, "record-unreadable", &line);
--- a/tests/suite/sidecar/leaves.rs
+++ b/tests/suite/sidecar/leaves.rs
@@ -7,8 +7,9 @@
 use tokio::time::sleep;
 
 use lentilway::clock::wall_time;
+use lentilway::sidecar::process::keyed_store::StoreTopic;
 
-use super::fleet::{BackendBehaviour, KEY, TestDaemon, TestFleet};
+use super::fleet::{BackendBehaviour, KEY, TestDaemon, TestFleet, wait_until};
 
 const LEAVING: &[(&str, &str)] = &[("server-leaving", "1")];
 
@@ -195,6 +196,21 @@
     expect_unused(&fleet, &leaving, &entry).await;
 }
 
+/// A write of the daemon's record that the store carries out late must not drop the leave.
+#[gtest]
+#[tokio::test]
+async fn leave_record_overwritten_late() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    wait_until(|| fleet.store.directory_value("one").is_some()).await;
+    let early = fleet.store.directory_value("one");
+    expect_that!(fleet.announce_born(&leaving, 1, 3, "draining").await, eq(200));
+    fleet.store.write(StoreTopic::Directory, "one", early.clone());
+    wait_until(|| fleet.store.directory_value("one") != early).await;
+    let leaving = fleet.restart_silent(leaving).await;
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
 /// The opposite fault: a new start under the identity of a leave is used at once.
 #[gtest]
 #[tokio::test]
