A stopping daemon passes on only requests that can end in time

The only daemon of a zone gets SIGTERM, its callers stay, and requests that it took 3.0 to 3.4 s later were passed on and cut without an answer at 5.3 s: 5 of 97.

Cause: the listener stays open for as long as runs under way at the own backend server may call through it, and it let callers' new requests through as well, however long they might run. All connections end 0.7 s before the process is killed.

Ruled out: answers ready but not delivered, and a stop of the other daemons' links: the trace has the runs still working when their callers' connections end. Passing such requests on with a shorter deadline was weighed: it would run work for callers that get nothing for it.

Change: policy/stop_schedule. A caller's request is taken while callers cannot know better, the first 2.4 s of 6 (at most 2.5 s), and after that if its deadline or its route's timeout, whichever is first, ends 0.2 s before connections do. Anything else is refused with 2016 (503, not run) before it is sent on, on a connection that closes, with a Retry-After of about the rest of the stop. Calls of runs under way pass at any time. What is taken in the first part and still runs at the end is what the rule excuses: work in the last sixth of the grace on requests sent up to 3 s after the signal; 0.5 s is left for a signal that is handled late.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,6 +23,7 @@
 pub mod root_admission;
 pub mod route_success;
 pub mod run_registry;
+pub mod stop_schedule;
 pub mod store_position;
 pub mod token_share;
 pub mod weighted_split;
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 
 use super::backend_watch::{record_leaves, serve_announcement, watch_backend};
 use super::crash_watch::record_crashes;
@@ -22,7 +22,7 @@
 use super::sidecar_shared::SidecarShared;
 use super::store_reader::follow_topic;
 use super::wire_dialect::WireDialect;
-use crate::clock::MilliClock;
+use crate::clock::{MilliClock, MilliTime};
 use crate::connection::listener::{ConnectionTimeouts, bind, serve_http};
 use crate::error::DaemonError;
 use crate::process::stop::StopSignal;
@@ -32,17 +32,7 @@
 /// Idle timeout of callers' connections: longer than the callers' own, so that none is closed while
 /// a request is in flight.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Fraction of the stop time after which the backend server gets no new requests. Before that,
-/// other daemons can detect lower capacity here only by refusals.
-const ADMISSION_OPEN_FRACTION: f64 = 0.2;
-/// Fraction of the stop time during which callers may open connections: readiness is probed once a
-/// second, and callers switch to other daemons after two failed probes.
-const ACCEPT_FRACTION: f64 = 0.4;
-/// Fraction of the stop time after which callers are disconnected even if requests are running.
-const RUNS_FRACTION: f64 = 0.75;
 const RUNS_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time reserved before the process is killed.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(250);
 /// The backend server is on the same machine.
 const BACKEND_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -115,22 +105,18 @@
     /// Stops within the bound of the settings without cutting off a request: readiness fails, then
     /// admission to the backend server ends, then running requests finish, then connections close.
     pub async fn stop(mut self) {
-        let started = Instant::now();
-        let bound = self.shared.settings.stop_bound;
         log_process(&self.shared, "stopping");
-        self.shared.stop.raise();
-        sleep_until(started + bound.mul_f64(ADMISSION_OPEN_FRACTION)).await;
+        let schedule = self.shared.begin_stop();
+        self.sleep_until(schedule.admission_end()).await;
         self.shared.backend_admission.close();
-        sleep_until(started + bound.mul_f64(ACCEPT_FRACTION)).await;
+        self.sleep_until(schedule.accept_end()).await;
         // Running requests make calls through the callers' listener.
-        while self.shared.backend_admission.running() > 0
-            && started.elapsed() < bound.mul_f64(RUNS_FRACTION)
-        {
+        while self.shared.backend_admission.running() > 0 && !self.is_past(schedule.runs_end()) {
             sleep(RUNS_POLL_INTERVAL).await;
         }
         self.callers_stop.raise();
-        let deadline = started + bound.saturating_sub(STOP_MARGIN);
-        if timeout_at(deadline, &mut self.callers).await.is_err() {
+        let remaining = schedule.end().until(self.shared.clock.now());
+        if timeout(remaining, &mut self.callers).await.is_err() {
             self.callers.abort();
         }
         self.leave_directory().await;
@@ -140,6 +126,14 @@
         self.shared.log.close();
     }
 
+    async fn sleep_until(&self, end: MilliTime) {
+        sleep(end.until(self.shared.clock.now())).await;
+    }
+
+    fn is_past(&self, end: MilliTime) -> bool {
+        self.shared.clock.now() >= end
+    }
+
     /// Aborts all tasks at once, like a power failure.
     pub async fn abort(self) {
         for task in std::iter::once(self.callers).chain(self.tasks) {
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a sidecar daemon.
 
 use std::collections::HashSet;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -34,6 +34,7 @@
 use crate::policy::placement::InstanceLoad;
 use crate::policy::root_admission::{CostList, RootAdmission};
 use crate::policy::route_success::RouteSuccess;
+use crate::policy::stop_schedule::StopSchedule;
 use crate::policy::store_position::StorePosition;
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
@@ -73,6 +74,8 @@
     pub(crate) retry_detector: Mutex<RetryDetector>,
     pub(crate) destination_split: Mutex<WeightedSplit>,
     pub(crate) stop: StopSignal,
+    /// The phases of the stop, once it has begun.
+    stop_schedule: OnceLock<StopSchedule>,
     pub(crate) own_key: u64,
     pub(crate) store_view: StoreView,
     pub(crate) directory: Mutex<DirectoryView>,
@@ -136,6 +139,7 @@
             retry_detector: Mutex::default(),
             destination_split: Mutex::default(),
             stop: StopSignal::default(),
+            stop_schedule: OnceLock::new(),
             own_key: instance_key(&settings.name),
             store_view: StoreView::new(clock.clone()),
             directory: Mutex::default(),
@@ -187,6 +191,21 @@
         self.store_view.configuration.is_fresh(self.clock.now(), bound)
     }
 
+    /// Begins the stop: readiness fails, and connections to callers end with their next answers.
+    pub(crate) fn begin_stop(&self) -> StopSchedule {
+        let schedule = StopSchedule::new(self.clock.now(), self.settings.stop_bound);
+        let schedule = *self.stop_schedule.get_or_init(|| schedule);
+        self.stop.raise();
+        schedule
+    }
+
+    /// When callers are disconnected if a stop has begun that does not take a request with this
+    /// deadline.
+    pub(crate) fn stop_end_for(&self, deadline: MilliTime) -> Option<MilliTime> {
+        let schedule = self.stop_schedule.get()?;
+        (!schedule.takes(self.clock.now(), deadline)).then(|| schedule.end())
+    }
+
     /// Whether callers should send their requests here.
     pub(crate) fn is_ready(&self) -> bool {
         let bound = self.settings.withdrawal_bound.mul_f64(READY_PROOF_AGE_FRACTION);
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -110,6 +110,7 @@
     if let RequestStanding::Held { remaining } = shared.crash_watch.standing(shared, identity) {
         return Err(held_refusal(remaining));
     }
+    check_stop(shared, &identified)?;
     if let Some(organisation) = &identified.organisation {
         check_quota(shared, organisation, &identified).await?;
     }
@@ -270,6 +271,23 @@
     })
 }
 
+/// Refuses a caller's request that a stop could cut off. Calls of runs under way pass, so that these
+/// can finish.
+fn check_stop(
+    shared: &SidecarShared,
+    identified: &IdentifiedRequest,
+) -> Result<(), RequestRefusal> {
+    if identified.parent.is_some() {
+        return Ok(());
+    }
+    let Some(end) = shared.stop_end_for(identified.deadline) else {
+        return Ok(());
+    };
+    let restart_in = end.until(shared.clock.now());
+    let refusal = RequestRefusal::new(ResultCode::Stopping, "it may run longer than the stop");
+    Err(refusal.retry_after(caller_retry_delay(shared, identified, Some(restart_in))))
+}
+
 async fn check_quota(
     shared: &SidecarShared,
     organisation: &FleetOrganisation,
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -14,4 +14,5 @@
 mod retries;
 mod roots;
 mod shed;
+mod stop_schedule;
 mod tokens;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -38,6 +38,7 @@
 pub(super) const WITHDRAWN_KEY: &str = "another-key";
 /// The store's reads leave records with this key out, as ones that cannot be decoded.
 pub(super) const UNREADABLE_KEY: &str = "unreadable";
+const STOP_BOUND: Duration = Duration::from_secs(3);
 const DEADLINE: Duration = Duration::from_secs(2);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -345,6 +346,8 @@
 pub(super) struct TestFleet {
     /// Whether each daemon is alone in its availability zone.
     has_zones: bool,
+    /// Time for a planned stop of a daemon.
+    stop_bound: Duration,
     pub(super) store: Arc<MemoryStore>,
     pub(super) client: Client<HttpConnector, Full<Bytes>>,
     next_id: AtomicUsize,
@@ -385,6 +388,15 @@
     config_of(version, &["read"], &keys)
 }
 
+/// A configuration whose open route `name` leads to the service of that name, for up to `timeout`.
+pub(super) fn config_with_service(version: u64, name: &str, timeout: Duration) -> Vec<u8> {
+    let mut config: serde_json::Value = serde_json::from_slice(&config(version, true)).unwrap();
+    let mut added = route(name, "safe", name, true);
+    added["spec"]["timeout_s"] = timeout.as_secs_f64().into();
+    config["resources"].as_array_mut().unwrap().push(added);
+    config.to_string().into_bytes()
+}
+
 /// A configuration with safe routes of these names and the usual ones.
 pub(super) fn config_with_routes(version: u64, names: &[&str]) -> Vec<u8> {
     config_of(version, names, &[KEY, WITHDRAWN_KEY])
@@ -405,7 +417,8 @@
         let store = Arc::new(MemoryStore::default());
         store.write(StoreTopic::Configuration, "config", Some(config(1, true)));
         let client = Client::builder(TokioExecutor::new()).build_http();
-        TestFleet { has_zones: false, store, client, next_id: AtomicUsize::new(0) }
+        let stop_bound = STOP_BOUND;
+        TestFleet { has_zones: false, stop_bound, store, client, next_id: AtomicUsize::new(0) }
     }
 
     /// A fleet whose daemons are each alone in an availability zone.
@@ -413,6 +426,11 @@
         TestFleet { has_zones: true, ..Self::new() }
     }
 
+    /// A fleet whose daemons have this time for a planned stop.
+    pub(super) fn with_stop_bound(stop_bound: Duration) -> Self {
+        TestFleet { stop_bound, ..Self::new() }
+    }
+
     /// Starts a daemon with a backend server and sends the first announcement.
     pub(super) async fn start(&self, name: &str, service: &str) -> TestDaemon {
         let backend = TestBackend::start(BackendBehaviour::Answers(Duration::from_millis(1))).await;
@@ -472,7 +490,7 @@
                 window: Duration::from_secs(10),
             },
             rate_window: RateWindow { span: Duration::from_secs(5), slack: 20.0, overage: 0.1 },
-            stop_bound: Duration::from_secs(3),
+            stop_bound: self.stop_bound,
         };
         let log = DecisionLog::new(MilliClock::monotonic(), Box::new(std::io::sink()));
         let dialect = Arc::new(PlatformDialect::default());
@@ -572,19 +590,32 @@
         deadline: Duration,
     ) -> impl Future<Output = CallerAnswer> + Send + use<> {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let exchange = self.try_request(daemon, path, key, &format!("request-{id}"), deadline);
+        async move { exchange.await.expect("the request is answered") }
+    }
+
+    /// The exchange of a request with this id; `None` if the connection ends without an answer.
+    pub(super) fn try_request(
+        &self,
+        daemon: &TestDaemon,
+        path: &str,
+        key: &str,
+        id: &str,
+        deadline: Duration,
+    ) -> impl Future<Output = Option<CallerAnswer>> + Send + use<> {
         let uri = format!("http://{}{path}", daemon.settings.request_listen);
         let request = Request::get(uri)
             .header("host", HOST)
-            .header("x-lentilway-attempt-id", format!("request-{id}"))
+            .header("x-lentilway-attempt-id", id)
             .header("x-lentilway-deadline-ms", deadline.as_millis().to_string())
             .header("x-lentilway-tenant-id", "forged")
             .header("authorization", format!("Bearer {key}"))
             .body(Full::default());
         let exchange = self.client.request(request.unwrap());
         async move {
-            let (parts, body) = exchange.await.unwrap().into_parts();
-            let body = body.collect().await.unwrap().to_bytes();
-            CallerAnswer { status: parts.status.as_u16(), headers: parts.headers, body }
+            let (parts, body) = exchange.await.ok()?.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(CallerAnswer { status: parts.status.as_u16(), headers: parts.headers, body })
         }
     }
 
--- a/tests/suite/sidecar/stops.rs
+++ b/tests/suite/sidecar/stops.rs
@@ -4,9 +4,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::time::sleep;
+use lentilway::sidecar::process::keyed_store::StoreTopic;
+use tokio::time::{Instant, sleep, sleep_until};
 
-use super::fleet::{BackendBehaviour, KEY, TestFleet, wait_until};
+use super::fleet::{
+    BackendBehaviour, CallerAnswer, KEY, TestDaemon, TestFleet, config, config_with_service,
+    wait_until,
+};
 
 const RUN_TIME: Duration = Duration::from_millis(700);
 
@@ -106,3 +110,124 @@
     }
     expect_that!(restarted.backend.arrivals(), eq(before));
 }
+
+/// Time for a planned stop on the users' platform.
+const GRACE: Duration = Duration::from_secs(6);
+/// Work and timeout of requests that may run for longer than what is left of a stop.
+const LONG_WORK: Duration = Duration::from_millis(2_200);
+const LONG_DEADLINE: Duration = Duration::from_millis(2_500);
+/// When the last request may be taken whatever it needs, from the stop on.
+const EXCUSED_UNTIL: Duration = Duration::from_secs(3);
+/// Time between requests, so that the server has slots for all.
+const SEND_INTERVAL: Duration = Duration::from_millis(310);
+/// When a run begins that keeps the stopping daemon's listener open, from the stop on, and its work.
+const OWN_RUN_AT: Duration = Duration::from_millis(1_000);
+const OWN_WORK: Duration = Duration::from_millis(2_800);
+
+/// A fleet with a stopping daemon that has the only server of the service "solo", another that calls
+/// it, and a server for the other routes.
+async fn start_stopping() -> (Arc<TestFleet>, TestDaemon, TestDaemon, TestDaemon) {
+    let fleet = TestFleet::with_stop_bound(GRACE);
+    let timeout = Duration::from_secs(6);
+    let config = config_with_service(2, "solo", timeout);
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config));
+    let stopping = fleet.start("one", "solo").await;
+    let entry = fleet.start("two", "prices").await;
+    let other = fleet.start("three", "stock").await;
+    fleet.until(&entry, "/solo/1", KEY, 200).await;
+    fleet.until(&stopping, "/open/1", KEY, 200).await;
+    (Arc::new(fleet), stopping, entry, other)
+}
+
+/// A request that was sent to a stopping daemon, and how it ended; times are since the stop.
+struct StopRequest {
+    sent: Duration,
+    ended: Duration,
+    answer: Option<CallerAnswer>,
+}
+
+/// Review 3: a stopping daemon took requests that it could only cut off at the end of its grace.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_late_requests_not_cut() {
+    let (fleet, stopping, entry, other) = start_stopping().await;
+    stopping.backend.set_behaviour(BackendBehaviour::Answers(OWN_WORK));
+    other.backend.set_behaviour(BackendBehaviour::Answers(LONG_WORK));
+    let arrivals = other.backend.arrivals();
+    let started = Instant::now();
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..18 {
+        let sent = SEND_INTERVAL * number;
+        let (id, fleet) = (format!("late-{number}"), fleet.clone());
+        let exchange = fleet.try_request(&stopping, "/open/1", KEY, &id, LONG_DEADLINE);
+        callers.spawn(async move {
+            sleep_until(started + sent).await;
+            let answer = exchange.await;
+            StopRequest { sent, ended: started.elapsed(), answer }
+        });
+    }
+    let own_run = tokio::spawn({
+        let exchange = fleet.try_request(&entry, "/solo/1", KEY, "own-run", GRACE);
+        async move {
+            sleep_until(started + OWN_RUN_AT).await;
+            exchange.await
+        }
+    });
+    stopping.daemon.stop().await;
+    let requests = callers.join_all().await;
+    let own_run = own_run.await.expect("the task ends");
+    expect_that!(own_run.map(|answer| answer.status), some(eq(200)));
+    let mut served = 0;
+    for StopRequest { sent, ended, answer } in requests {
+        let Some(answer) = answer else {
+            // A closed connection is allowed where the request was not passed on.
+            expect_that!(ended - sent, lt(Duration::from_millis(300)), "sent at {sent:?}");
+            continue;
+        };
+        served += usize::from(answer.status == 200);
+        if sent > EXCUSED_UNTIL && answer.status != 200 {
+            expect_that!(answer.status, eq(503), "sent at {sent:?}");
+            expect_that!(answer.headers["lentilway-execution"].to_str(), ok(eq(&"not-run")));
+            expect_that!(answer.headers.contains_key("retry-after"), eq(true));
+            expect_that!(answer.headers["connection"].to_str(), ok(eq(&"close")));
+            expect_that!(ended - sent, lt(Duration::from_millis(300)), "refused at once");
+        }
+    }
+    expect_that!(served, ge(8), "those of the first part of the stop");
+    expect_that!(other.backend.arrivals() - arrivals, eq(served), "only what could end ran");
+}
+
+/// The opposite fault: calls of a run under way pass through a stopping daemon at any time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_late_call_of_run_passes() {
+    let (fleet, stopping, entry, _other) = start_stopping().await;
+    stopping.backend.set_behaviour(BackendBehaviour::Answers(Duration::from_millis(4_000)));
+    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "parent", GRACE));
+    let arrivals = stopping.backend.arrivals();
+    wait_until(|| stopping.backend.arrivals() > arrivals).await;
+    let call = fleet.try_request(&stopping, "/open/1", KEY, "parent.1", LONG_WORK);
+    let call = tokio::spawn(async move {
+        sleep(Duration::from_millis(3_200)).await;
+        call.await
+    });
+    stopping.daemon.stop().await;
+    let status = |answer: Option<CallerAnswer>| answer.map(|answer| answer.status);
+    expect_that!(status(call.await.expect("the task ends")), some(eq(200)));
+    expect_that!(status(run.await.expect("the task ends")), some(eq(200)));
+}
+
+/// A new configuration without the route of a running request does not end it.
+#[gtest]
+#[tokio::test]
+async fn request_running_route_removed() {
+    let (fleet, stopping, entry, _other) = start_stopping().await;
+    stopping.backend.set_behaviour(BackendBehaviour::Answers(Duration::from_millis(1_000)));
+    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "run", GRACE));
+    let arrivals = stopping.backend.arrivals();
+    wait_until(|| stopping.backend.arrivals() > arrivals).await;
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(3, true)));
+    fleet.until(&entry, "/solo/1", KEY, 404).await;
+    let answer = run.await.expect("the task ends");
+    expect_that!(answer.map(|answer| answer.status), some(eq(200)));
+}
