A stopping daemon lets runs for other daemons end

Callers saw: 502 for a request that another daemon had sent to the stopping one and that its backend server worked on (LOST: a request broken off at a planned stop with an answer of our own in its place).

Cause: the stop waited for runs up to three quarters of the grace. After that, and as soon as no caller's connection was busy, it closed the links, although 0.8 s of 6 were left; and it closed them at once after the last run, whether its answer had been written or not.

Change: runs are waited for until callers are disconnected, 0.7 s before the end of the grace, and the last answers get 0.1 s of that margin to reach the daemons that called. Since late requests of callers are refused, the listener may stay open as long.

Ruled out: a counter of answers that are not written yet; the wait is simpler and also covers what the system has not delivered.

--- a/src/policy/stop_schedule.rs
+++ b/src/policy/stop_schedule.rs
@@ -13,8 +13,6 @@
 /// Fraction of the stop time during which callers may open connections: readiness is probed once a
 /// second, and callers switch to other daemons after two failed probes.
 const ACCEPT_FRACTION: f64 = 0.4;
-/// Fraction of the stop time after which callers are disconnected even if requests are running.
-const RUNS_FRACTION: f64 = 0.75;
 /// Time in which all requests are taken, unless callers are to switch sooner. The callers of one that
 /// is cut off all the same were told to switch before they sent it.
 const TAKE_ALL_SPAN: Duration = Duration::from_millis(2_500);
@@ -46,11 +44,6 @@
         self.started + self.bound.mul_f64(ACCEPT_FRACTION)
     }
 
-    /// Until when runs at the backend server keep the callers' listener open.
-    pub fn runs_end(&self) -> MilliTime {
-        self.started + self.bound.mul_f64(RUNS_FRACTION)
-    }
-
     /// When callers are disconnected even if requests are running.
     pub fn end(&self) -> MilliTime {
         self.started + self.bound.saturating_sub(EXIT_MARGIN)
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -33,6 +33,8 @@
 /// a request is in flight.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 const RUNS_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for the last answers to reach the daemons that called.
+const ANSWER_FLUSH_SPAN: Duration = Duration::from_millis(100);
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(250);
 /// The backend server is on the same machine.
 const BACKEND_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -111,7 +113,7 @@
         self.shared.backend_admission.close();
         self.sleep_until(schedule.accept_end()).await;
         // Running requests make calls through the callers' listener.
-        while self.shared.backend_admission.running() > 0 && !self.is_past(schedule.runs_end()) {
+        while self.shared.backend_admission.running() > 0 && !self.is_past(schedule.end()) {
             sleep(RUNS_POLL_INTERVAL).await;
         }
         self.callers_stop.raise();
@@ -119,6 +121,7 @@
         if timeout(remaining, &mut self.callers).await.is_err() {
             self.callers.abort();
         }
+        sleep(ANSWER_FLUSH_SPAN).await;
         self.leave_directory().await;
         self.listeners_stop.raise();
         self.tasks.iter().for_each(JoinHandle::abort);
--- a/tests/suite/sidecar/stops.rs
+++ b/tests/suite/sidecar/stops.rs
@@ -217,6 +217,20 @@
     expect_that!(status(run.await.expect("the task ends")), some(eq(200)));
 }
 
+/// A run for another daemon was cut off once no caller was left, although there was time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waits_for_run_of_peer() {
+    let (fleet, stopping, entry, _other) = start_stopping().await;
+    stopping.backend.set_behaviour(BackendBehaviour::Answers(Duration::from_millis(4_800)));
+    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "run", GRACE));
+    let arrivals = stopping.backend.arrivals();
+    wait_until(|| stopping.backend.arrivals() > arrivals).await;
+    stopping.daemon.stop().await;
+    let answer = run.await.expect("the task ends");
+    expect_that!(answer.map(|answer| answer.status), some(eq(200)));
+}
+
 /// A new configuration without the route of a running request does not end it.
 #[gtest]
 #[tokio::test]
