Tests: endless bytes spare the requests of others on a machine

What was missing is a test that measures memory and other callers' requests. sidecar::endless starts the program itself:

--- a/tests/suite/platform/store.rs
+++ b/tests/suite/platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -13,6 +14,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use crate::sidecar::floods::{FloodingServer, SOCKET_BUFFER_BYTES, floods};
+
+/// Bytes that one answer of the store may have, and the time for it.
+const STORE_ANSWER_BYTES_MAX: usize = 8 << 20;
+const STORE_ANSWERED_WITHIN: Duration = Duration::from_secs(3);
 const NO_WAIT: Duration = Duration::ZERO;
 /// A copy of this age holds nothing.
 const EMPTY_COPY_AGE: Duration = Duration::from_secs(3_600);
@@ -186,3 +192,20 @@
     let read = store.changes(DIRECTORY, StorePosition::default(), NO_WAIT).await;
     expect_that!(read, err(eq(&StoreError::Expired)));
 }
+
+/// A store that answers without end, in a head or in a body, costs a bounded part of the answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_without_end() {
+    for flood in floods() {
+        let name = flood.name;
+        let server = FloodingServer::start(flood).await;
+        let client = PlatformStore::new(server.address);
+        let started = std::time::Instant::now();
+        expect_that!(client.snapshot(DIRECTORY).await, err(anything()), "{name}");
+        expect_that!(started.elapsed(), lt(STORE_ANSWERED_WITHIN), "{name}");
+        let written = server.written.load(Ordering::SeqCst);
+        println!("{name}: {written} bytes in {:?}", started.elapsed());
+        expect_that!(written, le(STORE_ANSWER_BYTES_MAX + SOCKET_BUFFER_BYTES), "{name}");
+    }
+}
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,8 +1,9 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
 mod crashes;
+mod endless;
 mod fleet;
-mod floods;
+pub(crate) mod floods;
 mod kept_connections;
 mod keys;
 mod leaves;
--- a/tests/suite/sidecar/floods.rs
+++ b/tests/suite/sidecar/floods.rs
@@ -15,29 +15,31 @@
 /// and the buffers of the sockets between.
 const HEAD_BYTES_MAX: usize = 1 << 20;
 const BODY_BYTES_MAX: usize = 24 << 20;
-const SOCKET_BUFFER_BYTES: usize = 8 << 20;
+pub(crate) const SOCKET_BUFFER_BYTES: usize = 8 << 20;
 /// The timeout of the test's routes, and some time to close.
 const CLOSED_WITHIN: Duration = Duration::from_millis(3_500);
 
 /// What a flooding server sends after it has read the head of a request.
 #[derive(Clone, Debug)]
-struct Flood {
-    name: &'static str,
+pub(crate) struct Flood {
+    pub(crate) name: &'static str,
     /// Sent once; `{id}` stands for the id of the request.
     prefix: &'static str,
     /// Sent again and again until the connection is closed.
-    repeated: Vec<u8>,
+    pub(crate) repeated: Vec<u8>,
+    /// Time between the repeats.
+    pub(crate) pause: Duration,
     bytes_max: usize,
 }
 
-fn floods() -> Vec<Flood> {
+pub(crate) fn floods() -> Vec<Flood> {
     let head = |name, prefix, repeated: Vec<u8>| {
         let bytes_max = HEAD_BYTES_MAX + SOCKET_BUFFER_BYTES;
-        Flood { name, prefix, repeated, bytes_max }
+        Flood { name, prefix, repeated, pause: Duration::ZERO, bytes_max }
     };
     let body = |name, prefix, repeated: Vec<u8>| {
         let bytes_max = BODY_BYTES_MAX + SOCKET_BUFFER_BYTES;
-        Flood { name, prefix, repeated, bytes_max }
+        Flood { name, prefix, repeated, pause: Duration::ZERO, bytes_max }
     };
     vec![
         head("no answer", "", vec![b'x'; 4_096]),
@@ -98,15 +100,15 @@
 }
 
 /// A backend server that floods every connection.
-struct FloodingServer {
-    address: std::net::SocketAddr,
+pub(crate) struct FloodingServer {
+    pub(crate) address: std::net::SocketAddr,
     arrivals: Arc<AtomicUsize>,
-    written: Arc<AtomicUsize>,
+    pub(crate) written: Arc<AtomicUsize>,
     open: Arc<AtomicUsize>,
 }
 
 impl FloodingServer {
-    async fn start(flood: Flood) -> Self {
+    pub(crate) async fn start(flood: Flood) -> Self {
         let listener = TcpListener::bind((own_loopback(), 0)).await.unwrap();
         let server = FloodingServer {
             address: listener.local_addr().unwrap(),
@@ -152,6 +154,9 @@
     loop {
         stream.write_all(&flood.repeated).await?;
         written.fetch_add(flood.repeated.len(), Ordering::SeqCst);
+        if !flood.pause.is_zero() {
+            sleep(flood.pause).await;
+        }
     }
 }
 
@@ -214,7 +219,8 @@
     );
     for repeated in [vec![b'x'; 4_096], b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_vec()] {
         let bytes_max = HEAD_BYTES_MAX + SOCKET_BUFFER_BYTES;
-        let flood = Flood { name: "after an answer", prefix, repeated, bytes_max };
+        let flood =
+            Flood { name: "after an answer", prefix, repeated, pause: Duration::ZERO, bytes_max };
         let server = FloodingServer::start(flood).await;
         let fleet = TestFleet::new();
         let daemon = fleet.start_beside("one", "stock", server.address).await;
