Leaves of servers that state no start replace one another

Would be seen: a server without `born` leaves, another one at the same machine leaves too, and the second leave, although acknowledged, does not hold (DRAIN). Daemons that keep the leaves of others had the same rule before.

Change: a leave of the server that announced itself last, and a later record of a daemon, count as newer where the starts are equal. What comes from copies still has to be newer.

--- a/src/policy/incarnation.rs
+++ b/src/policy/incarnation.rs
@@ -69,18 +69,39 @@
     /// assert_eq!(record, leave(11));
     /// ```
     pub fn merge(&mut self, other: &LeaveRecord) -> bool {
-        let born = |left: &BackendIncarnation| left.born;
-        let until = |leave: &IdentityLeave| leave.until;
-        let has_incarnation =
-            other.incarnation.as_ref().map(born) > self.incarnation.as_ref().map(born);
-        let has_identity = other.identity.as_ref().map(until) > self.identity.as_ref().map(until);
-        if has_incarnation {
+        self.merge_if(other, |born, known| born > known)
+    }
+
+    /// Takes over the leaves of a later report. Of starts with the same time, such as servers that
+    /// state none, the reported one is the newer; returns whether anything changed.
+    ///
+    /// ```
+    /// use lentilway::policy::incarnation::{BackendIncarnation, LeaveRecord};
+    /// let leave = |id: &str| LeaveRecord::of(BackendIncarnation { id: id.into(), born: 0 });
+    /// let mut record = leave("a");
+    /// assert!(!record.merge(&leave("b")));
+    /// assert!(record.update(&leave("b")));
+    /// assert_eq!(record, leave("b"));
+    /// ```
+    pub fn update(&mut self, later: &LeaveRecord) -> bool {
+        self.merge_if(later, |born, known| born >= known)
+    }
+
+    fn merge_if(
+        &mut self,
+        other: &LeaveRecord,
+        is_newer: impl Fn(Option<u64>, Option<u64>) -> bool,
+    ) -> bool {
+        let before = self.clone();
+        let born = |leaves: &LeaveRecord| leaves.incarnation.as_ref().map(|left| left.born);
+        let until = |leaves: &LeaveRecord| leaves.identity.as_ref().map(|leave| leave.until);
+        if other.incarnation.is_some() && is_newer(born(other), born(self)) {
             self.incarnation = other.incarnation.clone();
         }
-        if has_identity {
+        if other.identity.is_some() && is_newer(until(other), until(self)) {
             self.identity = other.identity.clone();
         }
-        has_incarnation || has_identity
+        *self != before
     }
 }
 
@@ -170,7 +191,11 @@
     /// Records leaves, unless newer ones are known; returns whether any was recorded.
     pub fn record_leaves(&mut self, now: ClockReading, leaves: &LeaveRecord) -> bool {
         let identity = self.leaves.identity.clone();
-        let is_new = self.leaves.merge(leaves);
+        let left = leaves.incarnation.as_ref();
+        let is_new = match left.is_some_and(|left| self.is_current(left)) {
+            true => self.leaves.update(leaves),
+            false => self.leaves.merge(leaves),
+        };
         if self.leaves.identity != identity {
             self.identity_noted = now;
         }
--- a/src/sidecar/process/directory.rs
+++ b/src/sidecar/process/directory.rs
@@ -144,7 +144,7 @@
     /// Holds leaves at the daemon `name` for as long as it is listed.
     pub(crate) fn hold_leaves(&mut self, name: &Arc<str>, leaves: &LeaveRecord) {
         if !leaves.is_empty() {
-            self.leaves.entry(name.clone()).or_default().merge(leaves);
+            self.leaves.entry(name.clone()).or_default().update(leaves);
         }
     }
 
--- a/tests/suite/policy/incarnation.rs
+++ b/tests/suite/policy/incarnation.rs
@@ -157,3 +157,20 @@
     expect_that!(registry.end("one", key), some(eq(1)));
     expect_that!(registry.parent("one.77", MilliTime(1_000)), none());
 }
+
+/// Servers that state no start: the leave of the second one was not recorded.
+#[gtest]
+fn leave_without_start() {
+    let mut tracker = IncarnationTracker::default();
+    for id in ["a", "b"] {
+        let server = incarnation(id, 0);
+        expect_that!(tracker.announce(NOW, &server, 1), eq(AnnouncementDecision::Replace));
+        let leaves = tracker.leave_of(NOW, id);
+        expect_that!(tracker.record_leaves(NOW, &leaves), eq(true), "{id}");
+        expect_that!(tracker.record_leaves(NOW, &leaves), eq(false), "{id} again");
+        expect_that!(tracker.announce(NOW, &server, 2), eq(AnnouncementDecision::Stale));
+    }
+    // A copy from before the second leave.
+    tracker.record_leaves(NOW, &LeaveRecord::of(incarnation("a", 0)));
+    expect_that!(tracker.leaves(), eq(&LeaveRecord::of(incarnation("b", 0))));
+}
