A leave that comes in between a heartbeat's check and its effect holds

Would be seen: a heartbeat is found to be the newest one, a leave is acknowledged on another thread, and the heartbeat then opens admission (DRAIN). Found by reading for what can overtake what; the window is microseconds, no test or run shows it.

Cause: the check and the opening were two steps, with the lock released between them.

Change: admission is opened under the lock that a leave takes, after a second look at the leaves.

--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -279,14 +279,22 @@
     heartbeat: &BackendHeartbeat,
     decision: AnnouncementDecision,
 ) {
-    let was_open = std::mem::replace(&mut shared.backend_watch.lock().is_open, true);
-    if was_open && decision == AnnouncementDecision::Update {
+    let incarnation = &heartbeat.incarnation;
+    if shared.backend_watch.lock().is_open && decision == AnnouncementDecision::Update {
         return;
     }
-    let incarnation = heartbeat.incarnation.clone();
-    set_incarnation(shared, &incarnation);
-    let target = BackendTarget { address: heartbeat.address, incarnation };
-    shared.backend_admission.open(target, heartbeat.slots);
+    set_incarnation(shared, incarnation);
+    let target = BackendTarget { address: heartbeat.address, incarnation: incarnation.clone() };
+    {
+        let mut state = shared.backend_watch.lock();
+        let now = ClockReading::now(&shared.clock);
+        // Another announcement or a leave may have come in meanwhile.
+        if !state.tracker.is_current(incarnation) || state.tracker.has_current_left(now) {
+            return;
+        }
+        state.is_open = true;
+        shared.backend_admission.open(target, heartbeat.slots);
+    }
     shared.observe_own_load();
     log_backend(shared, heartbeat, "open");
 }
