Soak: a daemon restarts, and its upstream leaves before the next heartbeat

Each run now draws two such leaves, apart from the other faults, so that the plans of seeds stay as they were: the daemon is killed (or stopped as planned), the upstream says that it is gone as the first thing, in some runs the daemon is killed again after the acknowledgement, and 0.2 to 2 s after the time in which requests may still reach the upstream a heartbeat from before the restart arrives. The existing check on upstreams that left judges it.

--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -9,6 +9,7 @@
 const FAULTS_PER_SECOND: f64 = 1.2;
 const STORE_RETURN_SEED: u64 = 0x5702_e2a1;
 const DEADLY_SEED: u64 = 0xdead_1e57;
+const LEAVE_SEED: u64 = 0x1ea7_e5e5;
 
 /// A fault of one node or of a shared component; the `usize` is the node's index.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,6 +30,15 @@
     LimitUpstream(usize),
     /// The upstream tells of its leave in answers only, and is replaced.
     TellLeave(usize),
+    /// The daemon restarts, its upstream leaves before it announces itself to the new process, and a
+    /// heartbeat from before the restart arrives late.
+    RestartAndLeave {
+        node: usize,
+        /// Whether the daemon is killed, or else stopped gracefully.
+        is_kill: bool,
+        /// Whether it is killed again once the leave was acknowledged.
+        is_repeated: bool,
+    },
     /// A link of the node fails.
     Link(usize, NodeLink, LinkFault),
     /// The store refuses requests, does not answer, is slow or loses answers.
@@ -89,11 +99,13 @@
     /// Whether this is a planned operation, during which no request may be lost.
     pub(crate) fn is_planned_operation(self) -> bool {
         use SoakFault::{
-            AddRoute, DrainUpstream, LimitUpstream, Reload, Stop, TellLeave, WithdrawKey,
+            AddRoute, DrainUpstream, LimitUpstream, Reload, RestartAndLeave, Stop, TellLeave,
+            WithdrawKey,
         };
         matches!(
             self,
             Stop(_)
+                | RestartAndLeave { is_kill: false, is_repeated: false, .. }
                 | Reload(_)
                 | DrainUpstream(_)
                 | LimitUpstream(_)
@@ -126,6 +138,7 @@
     }
     plan.extend(draw_store_returns(seed, length, planned_only));
     plan.extend(draw_deadly_requests(seed, length));
+    plan.extend(draw_leaves(seed, nodes, length, planned_only));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -157,6 +170,21 @@
     })
 }
 
+/// Leaves after restarts, one or two in each run. They are drawn apart as well.
+fn draw_leaves(seed: u64, nodes: usize, length: Duration, planned_only: bool) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ LEAVE_SEED);
+    let mut draw = || PlannedFault {
+        at: length.mul_f64(random.random_range(0.0..0.5)),
+        duration: Duration::from_millis(random.random_range(200..2_000)),
+        fault: SoakFault::RestartAndLeave {
+            node: random.random_range(0..nodes),
+            is_kill: !planned_only && random.random_bool(0.7),
+            is_repeated: !planned_only && random.random_bool(0.5),
+        },
+    };
+    (0..2).map(|_| draw()).collect()
+}
+
 fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
     let node = random.random_range(0..nodes);
     match random.random_range(0..17) {
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -10,7 +10,7 @@
 
 // Bounds from the settings that the soak writes and from the platform's rules.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(5);
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 const RATE_TOLERANCE: f64 = 0.1;
 const RATE_SLACK: f64 = 20.0;
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -25,7 +25,7 @@
 use callers::{CallerGroup, CallerOrganisation, CallerRoute, run_caller};
 use deadly::return_upstreams;
 use fault::{LinkFault, NodeLink, PlannedFault, SoakFault, StoreFault, draw_plan};
-use history::{LIMIT_STABLE_TIME, LIMIT_WINDOW, SoakHistory};
+use history::{DRAIN_TIMEOUT, LIMIT_STABLE_TIME, LIMIT_WINDOW, SoakHistory};
 use node::SoakNode;
 pub use node::SoakPaths;
 
@@ -56,6 +56,10 @@
 const LOST_VERSIONS: usize = 4;
 /// Part of its absence after which the operator writes its version again.
 const REWRITE_DELAY_DIVISOR: u32 = 5;
+/// Time in which an upstream repeats a leave that is not acknowledged.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time for which an upstream serves after a heartbeat that arrives late.
+const LEFT_SERVING_TIME: Duration = Duration::from_millis(1_500);
 /// Limits stated by upstreams reach from 0 to about the usual load.
 const LIMIT_PER_SECOND_OF_FAULT: f64 = 8.0;
 
@@ -318,6 +322,9 @@
                 self.history.record_stop(node);
                 self.restart(node, Signal::TERM).await;
             }
+            SoakFault::RestartAndLeave { node, is_kill, is_repeated } => {
+                self.restart_and_leave(node, is_kill, is_repeated, planned.duration).await;
+            }
             SoakFault::Reload(node) => self.nodes[node].lock().await.signal(Signal::HUP),
             SoakFault::CrashUpstream(node) => self.replace_upstream(node, planned.duration).await,
             SoakFault::DrainUpstream(node) => {
@@ -379,6 +386,41 @@
         }
     }
 
+    /// Restarts a daemon whose upstream then leaves, with a heartbeat that arrives `delay` after the
+    /// time in which requests may still reach the upstream.
+    async fn restart_and_leave(
+        &self,
+        number: usize,
+        is_kill: bool,
+        is_repeated: bool,
+        delay: Duration,
+    ) {
+        let upstream = self.nodes[number].lock().await.upstream.as_ref().map(|upstream| {
+            let announcer = upstream.take_announcements();
+            (announcer.hold_heartbeat(), announcer)
+        });
+        let Some((heartbeat, announcer)) = upstream else {
+            return;
+        };
+        if is_kill {
+            self.restart(number, Signal::KILL).await;
+        } else {
+            self.history.record_stop(number);
+            self.restart(number, Signal::TERM).await;
+        }
+        let started = Instant::now();
+        while !announcer.leave().await && started.elapsed() < LEAVE_TIMEOUT {
+            sleep(POLL_INTERVAL).await;
+        }
+        if is_repeated {
+            self.restart(number, Signal::KILL).await;
+        }
+        sleep(DRAIN_TIMEOUT + delay).await;
+        announcer.deliver(heartbeat).await;
+        sleep(LEFT_SERVING_TIME).await;
+        self.replace_upstream(number, Duration::ZERO).await;
+    }
+
     /// Number of times that a daemon was started.
     fn start_count(&self, daemon: usize) -> u32 {
         self.starts[daemon].load(Ordering::SeqCst)
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -101,6 +101,8 @@
     observer: Arc<dyn UpstreamObserver>,
     client: HttpClient,
     is_draining: AtomicBool,
+    /// Whether it sends no heartbeats of its own accord.
+    is_silent: AtomicBool,
     /// Whether answers tell of a leave that is not announced.
     tells_leave: AtomicBool,
     limit: Mutex<Option<f64>>,
@@ -137,6 +139,7 @@
             observer,
             client: http_client(),
             is_draining: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             tells_leave: AtomicBool::new(false),
             limit: Mutex::new(None),
             crash: Notify::new(),
@@ -170,6 +173,12 @@
         self.state.tells_leave.store(true, Ordering::SeqCst);
     }
 
+    /// Sends no more heartbeats; returns its announcements to the daemon, which outlast it.
+    pub fn take_announcements(&self) -> UpstreamAnnouncer {
+        self.state.is_silent.store(true, Ordering::SeqCst);
+        UpstreamAnnouncer { state: self.state.clone() }
+    }
+
     /// Announces that it drains, while it continues to serve requests.
     pub fn drain(&self) {
         self.state.is_draining.store(true, Ordering::SeqCst);
@@ -181,6 +190,39 @@
     }
 }
 
+/// The announcements of an upstream that sends no heartbeats by itself.
+pub struct UpstreamAnnouncer {
+    state: Arc<UpstreamState>,
+}
+
+/// A heartbeat that was sent and has not arrived.
+pub struct HeldHeartbeat {
+    body: String,
+}
+
+impl UpstreamAnnouncer {
+    /// Sends a heartbeat that arrives only when it is delivered.
+    pub fn hold_heartbeat(&self) -> HeldHeartbeat {
+        HeldHeartbeat { body: heartbeat_body(&self.state) }
+    }
+
+    /// Has a heartbeat arrive.
+    pub async fn deliver(&self, heartbeat: HeldHeartbeat) {
+        // It is late in any case.
+        let _ = announce(&self.state, Method::PUT, heartbeat.body).await;
+    }
+
+    /// Says that the upstream is gone, while it continues to serve requests; whether that was
+    /// acknowledged.
+    pub async fn leave(&self) -> bool {
+        let is_acknowledged = announce(&self.state, Method::DELETE, String::new()).await;
+        if is_acknowledged {
+            self.state.observer.leave_acknowledged(&self.state.instance);
+        }
+        is_acknowledged
+    }
+}
+
 /// Closes the listener and all connections once a request ends the upstream.
 async fn end_on_crash(state: Arc<UpstreamState>, tasks: Arc<Mutex<JoinSet<()>>>) {
     state.crash.notified().await;
@@ -190,26 +232,39 @@
 
 async fn send_heartbeats(state: Arc<UpstreamState>) {
     loop {
-        send_heartbeat(&state).await;
+        if !state.is_silent.load(Ordering::SeqCst) {
+            send_heartbeat(&state).await;
+        }
         sleep(HEARTBEAT_INTERVAL).await;
     }
 }
 
 async fn send_heartbeat(state: &UpstreamState) {
+    let is_draining = state.is_draining.load(Ordering::SeqCst);
+    // A failed heartbeat is not retried; the next one follows.
+    let is_acknowledged = announce(state, Method::PUT, heartbeat_body(state)).await;
+    if is_draining && is_acknowledged {
+        state.observer.leave_acknowledged(&state.instance);
+    }
+}
+
+fn heartbeat_body(state: &UpstreamState) -> String {
     let is_draining = state.is_draining.load(Ordering::SeqCst);
     let phase = if is_draining { "draining" } else { "ready" };
     let sequence = state.sequence.fetch_add(1, Ordering::SeqCst);
     let body = json!({"address": state.plan.announced.to_string(), "born": state.started_ms,
         "info": {"service": state.plan.service, "version": "v1", "zone": "zone", "slots": 16},
         "status": {"phase": phase, "sequence": sequence, "cold_remaining_s": 0}});
+    body.to_string()
+}
+
+/// Sends an announcement to the daemon; whether it was acknowledged.
+async fn announce(state: &UpstreamState, method: Method, body: String) -> bool {
     let uri = format!("http://{}/api/instances/{}", state.plan.control, state.instance);
-    let request = Request::put(uri).body(Full::new(Bytes::from(body.to_string())));
+    let request = Request::builder().method(method).uri(uri).body(Full::new(Bytes::from(body)));
     let request = request.expect("the address and path form a valid URI");
-    // A failed heartbeat is not retried; the next one follows.
     let answer = timeout(ACKNOWLEDGEMENT_TIMEOUT, exchange(&state.client, request)).await;
-    if is_draining && matches!(answer, Ok(Ok((StatusCode::OK, ..)))) {
-        state.observer.leave_acknowledged(&state.instance);
-    }
+    matches!(answer, Ok(Ok((StatusCode::OK, ..))))
 }
 
 async fn run_request(state: Arc<UpstreamState>, request: ReceivedRequest) -> ServerReply {
