A leave holds although the store loses its record and the daemon is killed

A daemon restarts, its server leaves, the record is confirmed, the daemon is killed 0.1 s later, and the store comes back from a copy without the record. Nobody else had read it: daemons pause 0.4 s between reads of the directory. The next process takes a late heartbeat for a new server.

Cause: the acknowledgement waited for one holder, the store, and that one may lose what it confirmed.

Change: a leave is acknowledged once the store has recorded it and a daemon that links to this one holds it. After 0.4 s one of them is enough, so that daemons without others and an absent store do not keep servers waiting; without either, 503 after 0.8 s as before. Daemons that link in the meantime are asked too. Restored leaves have a log line.

Ruled out: a shorter pause between reads of the directory, which costs the store reads at all times and leaves a window all the same.

--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -28,11 +28,13 @@
 /// their usual delay, are missing.
 const HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(4_500);
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for the store to record a leave, after which other daemons are asked to hold it.
-const LEAVE_RECORD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for another daemon to hold a leave. One that nobody holds is not acknowledged: it would be
-/// forgotten if this process ended. Backend servers ignore answers that take longer than a second.
-const LEAVE_HOLD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a leave to be held by the store and by another daemon, which is safe also if the store
+/// comes back from a copy; and then, for either of them. A leave that nobody holds is not
+/// acknowledged: it would be forgotten if this process ended. Backend servers ignore answers that
+/// take longer than a second.
+const LEAVE_HOLD_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between requests to the linked daemons to hold a leave.
+const LEAVE_HOLD_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay after the first write of a leave that failed; it doubles up to the maximum.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(150);
 const RECORD_RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
@@ -54,7 +56,9 @@
     directory_read: watch::Sender<bool>,
     /// Incremented when this daemon's record in the store lacks a leave.
     noted: watch::Sender<u64>,
-    /// The value of `noted` up to which the store or another daemon holds all leaves.
+    /// The value of `noted` up to which the store has recorded all leaves.
+    recorded: watch::Sender<u64>,
+    /// The value of `noted` up to which another daemon holds all leaves.
     held: watch::Sender<u64>,
 }
 
@@ -90,7 +94,7 @@
         self.noted.send_modify(|number| *number += 1);
     }
 
-    /// Records that the leaves up to this value of `noted` would outlast this process.
+    /// Records that another daemon holds the leaves up to this value of `noted`.
     pub(crate) fn confirm_held(&self, number: u64) {
         self.held.send_if_modified(|held| {
             let is_later = number > *held;
@@ -99,12 +103,6 @@
         });
     }
 
-    /// Whether the leaves up to this value of `noted` are held within `limit`.
-    async fn is_held_within(&self, number: u64, limit: Duration) -> bool {
-        let mut held = self.held.subscribe();
-        timeout(limit, held.wait_for(|held| *held >= number)).await.is_ok()
-    }
-
     /// Releases announcements that wait for the first read of the directory.
     pub(crate) fn mark_directory_read(&self) {
         self.directory_read.send_replace(true);
@@ -134,8 +132,16 @@
     }
 }
 
-/// Restores leaves recorded before a restart; returns whether any was new.
-pub(crate) fn restore_leaves(shared: &SidecarShared, leaves: &LeaveRecord) -> bool {
+/// Restores leaves that this daemon's record holds, from before a restart.
+pub(crate) fn restore_leaves(shared: &SidecarShared, leaves: &LeaveRecord) {
+    if apply_leaves(shared, leaves) {
+        log_leaves(shared, leaves, "restored");
+    }
+}
+
+/// Applies leaves and suspends admission if they concern the current server; returns whether any was
+/// new.
+fn apply_leaves(shared: &SidecarShared, leaves: &LeaveRecord) -> bool {
     let now = ClockReading::now(&shared.clock);
     let (is_new, was_open) = {
         let mut state = shared.backend_watch.lock();
@@ -165,30 +171,32 @@
 /// Records leaves that an announcement, an answer or another daemon told of: suspends admission, and
 /// has them recorded for a restart.
 pub(crate) fn note_leaves(shared: &SidecarShared, leaves: &LeaveRecord) {
-    if restore_leaves(shared, leaves) {
-        let line = LeaveLine { leaves, verdict: "left" };
-        shared.log.write(LineCategory::Change, "backend-server", &line);
+    if apply_leaves(shared, leaves) {
+        log_leaves(shared, leaves, "left");
         shared.backend_watch.request_record();
     }
 }
 
+fn log_leaves(shared: &SidecarShared, leaves: &LeaveRecord, verdict: &'static str) {
+    let line = LeaveLine { leaves, verdict };
+    shared.log.write(LineCategory::Change, "backend-server", &line);
+}
+
 /// Writes leaves into this daemon's directory record until the task is aborted.
 pub(crate) async fn record_leaves(shared: Arc<SidecarShared>) {
     let watch = &shared.backend_watch;
     let mut noted = watch.noted.subscribe();
-    let mut recorded = 0;
     let mut delay = RECORD_RETRY_DELAY;
     loop {
         let number = *noted.borrow_and_update();
-        if number == recorded {
+        if number == *watch.recorded.borrow() {
             // The sender lives as long as `shared`.
             let _ = noted.changed().await;
             continue;
         }
         match write_own_entry(&shared).await {
             Ok(_) => {
-                recorded = number;
-                watch.confirm_held(number);
+                watch.recorded.send_replace(number);
                 delay = RECORD_RETRY_DELAY;
             }
             Err(error) => {
@@ -311,21 +319,55 @@
     shared.log.write(LineCategory::Change, "backend-server", &line);
 }
 
-/// Acknowledges a leave once a restarted daemon would know it too: from the store or, if that does
-/// not answer, from a daemon that will link to it.
+/// Acknowledges a leave once a restarted daemon would know it too.
 async fn acknowledge_leave(shared: &SidecarShared) -> Response<Full<Bytes>> {
-    let watch = &shared.backend_watch;
-    let number = *watch.noted.borrow();
-    if watch.is_held_within(number, LEAVE_RECORD_TIMEOUT).await {
+    let number = *shared.backend_watch.noted.borrow();
+    let both = async {
+        wait_recorded(shared, number).await;
+        if shared.peers.has_entries() {
+            wait_held(shared, number).await;
+        }
+    };
+    if timeout(LEAVE_HOLD_TIMEOUT, both).await.is_ok() {
         return answer(StatusCode::OK, "{}");
     }
-    shared.crash_watch.tell_followers(PeerMessage::HoldLeaves { number, leaves: watch.leaves() });
-    if watch.is_held_within(number, LEAVE_HOLD_TIMEOUT).await {
-        shared.metrics.count("leave_held_by_peers");
-        return answer(StatusCode::OK, "{}");
+    let either = async {
+        tokio::select! {
+            () = wait_recorded(shared, number) => "leave_held_by_store",
+            () = wait_held(shared, number) => "leave_held_by_peers",
+        }
+    };
+    match timeout(LEAVE_HOLD_TIMEOUT, either).await {
+        Ok(event) => {
+            shared.metrics.count(event);
+            answer(StatusCode::OK, "{}")
+        }
+        Err(_) => {
+            shared.metrics.count("leave_not_held");
+            answer(StatusCode::SERVICE_UNAVAILABLE, "{}")
+        }
+    }
+}
+
+/// Waits until the store has recorded the leaves up to `number`.
+async fn wait_recorded(shared: &SidecarShared, number: u64) {
+    let mut recorded = shared.backend_watch.recorded.subscribe();
+    // The sender lives as long as `shared`.
+    let _ = recorded.wait_for(|recorded| *recorded >= number).await;
+}
+
+/// Waits until another daemon holds the leaves up to `number`. It tells them the next process as soon
+/// as it has linked to it.
+async fn wait_held(shared: &SidecarShared, number: u64) {
+    let watch = &shared.backend_watch;
+    let mut held = watch.held.subscribe();
+    while *held.borrow() < number {
+        shared
+            .crash_watch
+            .tell_followers(PeerMessage::HoldLeaves { number, leaves: watch.leaves() });
+        // At the timeout, daemons that have linked meanwhile are asked too.
+        let _ = timeout(LEAVE_HOLD_INTERVAL, held.wait_for(|held| *held >= number)).await;
     }
-    shared.metrics.count("leave_not_held");
-    answer(StatusCode::SERVICE_UNAVAILABLE, "{}")
 }
 
 /// Suspends admission when heartbeats stop. Runs until the task is aborted.
--- a/src/sidecar/process/link_plan.rs
+++ b/src/sidecar/process/link_plan.rs
@@ -89,6 +89,11 @@
         self.entries.get(&key)
     }
 
+    /// Whether the directory lists other daemons.
+    pub(crate) fn has_entries(&self) -> bool {
+        !self.entries.is_empty()
+    }
+
     /// Sets the other daemons of the directory.
     pub(crate) fn set_entries(&mut self, entries: Vec<DirectoryEntry>) {
         self.services.clear();
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -195,6 +195,11 @@
         self.lock().planner.set_entries(entries);
     }
 
+    /// Whether the directory lists other daemons.
+    pub(crate) fn has_entries(&self) -> bool {
+        self.lock().planner.has_entries()
+    }
+
     /// Opens and closes links so that they match the directory and the services in use; `connect`
     /// maintains the link to a new peer.
     pub(crate) fn refresh(&self, connect: impl Fn(Arc<PeerEntry>) -> JoinHandle<()>) {
--- a/tests/suite/sidecar/leaves.rs
+++ b/tests/suite/sidecar/leaves.rs
@@ -185,6 +185,29 @@
     expect_unused(&fleet, &leaving, &entry).await;
 }
 
+/// The store comes back from a copy that lacks an acknowledged leave, before others have read it.
+#[gtest]
+#[tokio::test]
+async fn leave_record_lost_by_store() {
+    let fleet = TestFleet::new();
+    let (leaving, entry) = start_pair(&fleet).await;
+    let leaving = fleet.restart_silent(leaving).await;
+    // The others read it, and pause before their next read.
+    let other = fleet.store.directory_value("two");
+    fleet.store.write(StoreTopic::Directory, "two", other);
+    sleep(Duration::from_millis(50)).await;
+    let (versions, entries) = [StoreTopic::Configuration, StoreTopic::Directory]
+        .map(|topic| fleet.store.count(topic))
+        .into();
+    expect_that!(fleet.leave(&leaving).await, eq(200));
+    let TestDaemon { daemon, settings, backend } = leaving;
+    daemon.abort().await;
+    fleet.store.restore(versions, entries);
+    let leaving = fleet.start_with("one", "stock", backend, settings.peer_listen).await;
+    fleet.until(&leaving, "/missing/1", KEY, 404).await;
+    expect_unused(&fleet, &leaving, &entry).await;
+}
+
 /// A planned stop removed the record of a leave while the server was still there.
 #[gtest]
 #[tokio::test]
