Name the connection and the origin of each answer of a backend server

Cause: no line named the connection, and nothing kept what it had carried.

Change, without a change of decisions: a connection keeps the hashes of the ids that it carried (policy::exchange_history). Each send has a line with the connection, the number of the exchange, how often the request was sent there, the request that the answer names and its origin; surplus_answers counts answers too many by kind of server and origin, those on idle connections too.

Ruled out: nothing yet.

--- /dev/null
+++ b/src/policy/exchange_history.rs
@@ -0,0 +1,119 @@
+//! What a connection to a backend server has carried, and which request an answer on it belongs to.
+//!
+//! Handles servers that answer more often than they are asked: on a kept connection, the surplus
+//! answer arrives where the one to a later request is due. It names the request that it belongs to.
+//! That tells it from the answer that is due only if the same request was not sent before on the
+//! connection.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Exchanges after which a connection is replaced, which bounds its history.
+pub const EXCHANGES_MAX: usize = 1_000;
+
+/// Which request an answer belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum AnswerOrigin {
+    /// It names the request that was sent last.
+    Own,
+    /// It names no request, and only one was sent on the connection.
+    First,
+    /// It names a request that was sent earlier on the connection.
+    Earlier,
+    /// It names a request that was never sent on the connection.
+    Foreign,
+    /// It names no request, and several were sent on the connection.
+    Unnamed,
+    /// It names more than one request.
+    Ambiguous,
+}
+
+impl AnswerOrigin {
+    /// Whether the answer belongs to the request that was sent last.
+    ///
+    /// ```
+    /// use lentilway::policy::exchange_history::AnswerOrigin;
+    /// assert!(AnswerOrigin::First.is_own());
+    /// assert!(!AnswerOrigin::Unnamed.is_own());
+    /// ```
+    pub fn is_own(self) -> bool {
+        matches!(self, AnswerOrigin::Own | AnswerOrigin::First)
+    }
+
+    /// The name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerOrigin::Own => "own",
+            AnswerOrigin::First => "first",
+            AnswerOrigin::Earlier => "earlier",
+            AnswerOrigin::Foreign => "foreign",
+            AnswerOrigin::Unnamed => "unnamed",
+            AnswerOrigin::Ambiguous => "ambiguous",
+        }
+    }
+}
+
+/// The requests that were sent on one connection, by the hashes of their ids.
+#[derive(Clone, Debug, Default)]
+pub struct ExchangeHistory {
+    hashes: Vec<u64>,
+}
+
+impl ExchangeHistory {
+    /// Records that a request is sent.
+    pub fn begin(&mut self, request_id: &str) {
+        self.hashes.push(hash(request_id.as_bytes()));
+    }
+
+    /// The number of requests that were sent.
+    pub fn count(&self) -> usize {
+        self.hashes.len()
+    }
+
+    /// How often a request was sent.
+    ///
+    /// ```
+    /// use lentilway::policy::exchange_history::ExchangeHistory;
+    /// let mut history = ExchangeHistory::default();
+    /// history.begin("a");
+    /// assert_eq!((history.sends("a"), history.sends("b")), (1, 0));
+    /// ```
+    pub fn sends(&self, request_id: &str) -> usize {
+        let sent = hash(request_id.as_bytes());
+        self.hashes.iter().filter(|hash| **hash == sent).count()
+    }
+
+    /// The origin of an answer that names these requests.
+    ///
+    /// ```
+    /// use lentilway::policy::exchange_history::{AnswerOrigin, ExchangeHistory};
+    /// let mut history = ExchangeHistory::default();
+    /// history.begin("a");
+    /// assert_eq!(history.origin([]), AnswerOrigin::First);
+    /// history.begin("b");
+    /// assert_eq!(history.origin([&b"a"[..]]), AnswerOrigin::Earlier);
+    /// assert_eq!(history.origin([&b"b"[..]]), AnswerOrigin::Own);
+    /// ```
+    pub fn origin<'a>(&self, named: impl IntoIterator<Item = &'a [u8]>) -> AnswerOrigin {
+        let mut named = named.into_iter();
+        let Some(name) = named.next() else {
+            return match self.count() {
+                0 | 1 => AnswerOrigin::First,
+                _ => AnswerOrigin::Unnamed,
+            };
+        };
+        let name = hash(name);
+        if named.next().is_some() {
+            AnswerOrigin::Ambiguous
+        } else if self.hashes.last() == Some(&name) {
+            AnswerOrigin::Own
+        } else if self.hashes.contains(&name) {
+            AnswerOrigin::Earlier
+        } else {
+            AnswerOrigin::Foreign
+        }
+    }
+}
+
+fn hash(request_id: &[u8]) -> u64 {
+    xxh3_64(request_id)
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub mod body_limit;
 pub mod caller_retry;
 pub mod crash_ledger;
+pub mod exchange_history;
 pub mod freshness;
 pub mod incarnation;
 pub mod link_subset;
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -6,29 +6,24 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, DATE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::task::{JoinHandle, yield_now};
-use tokio::time::timeout;
+use prometheus_client::metrics::counter::Counter;
+use tokio::task::yield_now;
 
-use crate::clock::{MilliClock, MilliTime};
+use super::backend_connection::{BackendConnection, IDLE_MAX};
+use super::metered_stream::ReadMeter;
+use crate::clock::MilliClock;
+use crate::policy::exchange_history::AnswerOrigin;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::request::header::end_to_end;
-use crate::sidecar::connection::metered_stream::{MeteredStream, ReadMeter};
 use crate::sidecar::process::body_budget::{BodyBudget, BodyError, UsualSize};
 use crate::sidecar::process::wire_dialect::HeaderNames;
 use crate::sidecar::request::context::{
     BackendAnswer, CallContext, CallOutcome, ForwardRequest, NotRunCause, UnknownCause,
 };
 
-/// A backend server on the same machine accepts a connection within this time or not at all.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum idle time for reuse; backend servers close idle connections after some seconds.
-const IDLE_MAX: Duration = Duration::from_secs(4);
-/// The same for a request that must not run twice: after a reset it is unknown whether it ran.
+/// Maximum idle time for reuse for a request that must not run twice: after a reset it is unknown whether it ran.
 const IDLE_MAX_RUNS_ONCE: Duration = Duration::from_millis(1_500);
 /// Safety margin before the idle timeout announced by the backend server.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -39,8 +34,6 @@
 /// Maximum bytes between two parts of a body, such as sizes and extensions of chunks, and what is
 /// read ahead.
 const FRAMING_BYTES_MAX: usize = 192 * 1024;
-/// Read buffer of a connection.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// The address and incarnation of the backend server for an exchange.
 #[derive(Clone, Debug)]
@@ -57,30 +50,24 @@
     /// The head of an answer to the request arrived.
     fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap);
 
+    /// The head of an answer arrived, or the connection ended without one.
+    fn observe_answer(&self, context: &CallContext, answer: &ExchangeAnswer<'_>);
+
     /// Nothing listens at the backend server's address any more.
     fn observe_end(&self, target: &BackendTarget);
 }
 
-/// Closes a connection when dropped, by aborting its task.
-#[derive(Debug)]
-struct ConnectionTask(JoinHandle<()>);
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-#[derive(Debug)]
-struct PooledConnection {
-    sender: SendRequest<Full<Bytes>>,
-    address: SocketAddr,
-    idle_since: MilliTime,
-    idle_max: Duration,
-    /// Whether an answer was received on it.
-    has_answered: bool,
-    meter: Arc<ReadMeter>,
-    _task: ConnectionTask,
+/// What came back for a request on its connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangeAnswer<'a> {
+    /// The number of the connection in this process.
+    pub(crate) connection: u64,
+    /// The number of the exchange on the connection, from 1.
+    pub(crate) exchange: usize,
+    /// How often the request was sent on the connection, this time included.
+    pub(crate) sends: usize,
+    /// The status and headers, with what they tell of their origin; `None` without an answer.
+    pub(crate) head: Option<(StatusCode, &'a HeaderMap, AnswerOrigin)>,
 }
 
 /// Idle connections to the backend server.
@@ -90,13 +77,20 @@
     headers: HeaderNames,
     bodies: Arc<BodyBudget>,
     usual_size: UsualSize,
-    idle: Mutex<Vec<PooledConnection>>,
+    idle: Mutex<Vec<BackendConnection>>,
+    /// Counts idle connections on which bytes arrived.
+    idle_surplus: Counter,
 }
 
 impl BackendPool {
-    pub(crate) fn new(clock: MilliClock, headers: HeaderNames, bodies: Arc<BodyBudget>) -> Self {
+    pub(crate) fn new(
+        clock: MilliClock,
+        headers: HeaderNames,
+        bodies: Arc<BodyBudget>,
+        idle_surplus: Counter,
+    ) -> Self {
         let usual_size = UsualSize::default();
-        BackendPool { clock, headers, bodies, usual_size, idle: Mutex::default() }
+        BackendPool { clock, headers, bodies, usual_size, idle: Mutex::default(), idle_surplus }
     }
 
     /// Closes every idle connection.
@@ -168,8 +162,12 @@
             let mut connection = connection;
             connection.meter.allow(HEAD_BYTES_MAX);
             observer.observe_send();
+            connection.history.begin(&context.request_id);
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
+                    let origin = self.origin(&connection, answer.headers());
+                    let head = Some((answer.status(), answer.headers(), origin));
+                    observer.observe_answer(context, &seen_on(&connection, context, head));
                     if self.is_answer_to(context, &connection, answer.headers()) {
                         observer.observe_head(target, answer.headers());
                     }
@@ -182,7 +180,10 @@
                         let cause = NotRunCause::Unreachable;
                         return CallOutcome::NotRun { cause, capacity_in_millis: 0 };
                     }
-                    None => return self.give_up(&connection, UnknownCause::Broken),
+                    None => {
+                        observer.observe_answer(context, &seen_on(&connection, context, None));
+                        return self.give_up(&connection, UnknownCause::Broken);
+                    }
                 },
             }
         }
@@ -190,7 +191,7 @@
 
     async fn finish_exchange(
         &self,
-        mut connection: PooledConnection,
+        mut connection: BackendConnection,
         answer: Response<hyper::body::Incoming>,
         context: &CallContext,
     ) -> CallOutcome {
@@ -217,7 +218,7 @@
 
     /// Ends an exchange without an answer. If its connection was a kept one, the others may be spoiled
     /// too, so that they are closed and a resend gets a new one.
-    fn give_up(&self, connection: &PooledConnection, cause: UnknownCause) -> CallOutcome {
+    fn give_up(&self, connection: &BackendConnection, cause: UnknownCause) -> CallOutcome {
         if connection.has_answered {
             self.clear();
         }
@@ -264,7 +265,7 @@
     fn is_answer_to(
         &self,
         context: &CallContext,
-        connection: &PooledConnection,
+        connection: &BackendConnection,
         headers: &HeaderMap,
     ) -> bool {
         match headers.get(&self.headers.request_id) {
@@ -273,6 +274,11 @@
         }
     }
 
+    fn origin(&self, connection: &BackendConnection, headers: &HeaderMap) -> AnswerOrigin {
+        let named = headers.get_all(&self.headers.request_id);
+        connection.history.origin(named.iter().map(HeaderValue::as_bytes))
+    }
+
     fn build_request(
         &self,
         target: &BackendTarget,
@@ -299,11 +305,11 @@
         Some(outgoing)
     }
 
-    fn take_idle(&self, address: SocketAddr, runs_once: bool) -> Option<PooledConnection> {
+    fn take_idle(&self, address: SocketAddr, runs_once: bool) -> Option<BackendConnection> {
         let now = self.clock.now();
         let bound = if runs_once { IDLE_MAX_RUNS_ONCE } else { IDLE_MAX };
         let mut idle = self.idle.lock().expect("lock not poisoned");
-        let is_usable = |connection: &PooledConnection| {
+        let is_usable = |connection: &BackendConnection| {
             let age = now.since(connection.idle_since);
             connection.address == address
                 && age < connection.idle_max
@@ -317,27 +323,25 @@
         idle.pop()
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<PooledConnection> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        let meter = Arc::new(ReadMeter::default());
-        let stream = TokioIo::new(MeteredStream::new(stream, meter.clone()));
-        let builder = Builder::new().max_buf_size(READ_BUFFER_BYTES).to_owned();
-        let (sender, connection) =
-            builder.handshake(stream).await.map_err(std::io::Error::other)?;
-        let task = tokio::spawn(async move {
-            // The exchange reports the connection's error.
-            let _ = connection.await;
-        });
-        Ok(PooledConnection {
-            sender,
-            address,
-            idle_since: self.clock.now(),
-            idle_max: IDLE_MAX,
-            has_answered: false,
-            meter,
-            _task: ConnectionTask(task),
-        })
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<BackendConnection> {
+        let surplus = self.idle_surplus.clone();
+        let on_surplus = move || {
+            surplus.inc();
+        };
+        BackendConnection::open(address, self.clock.now(), on_surplus).await
+    }
+}
+
+fn seen_on<'a>(
+    connection: &BackendConnection,
+    context: &CallContext,
+    head: Option<(StatusCode, &'a HeaderMap, AnswerOrigin)>,
+) -> ExchangeAnswer<'a> {
+    ExchangeAnswer {
+        connection: connection.number,
+        exchange: connection.history.count(),
+        sends: connection.history.sends(&context.request_id),
+        head,
     }
 }
 
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to other daemons and to the backend server.
 
+mod backend_connection;
 pub(crate) mod backend_pool;
 pub(crate) mod frame;
 pub(crate) mod metered_stream;
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -22,7 +22,9 @@
 use crate::policy::retry_allowance::{RetryAllowance, RetryClaim, RetryTerms};
 use crate::policy::root_admission::{CostList, SlotCost, add_cost};
 use crate::policy::run_registry::{RunKey, RunRegistry};
-use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
+use crate::sidecar::connection::backend_pool::{
+    BackendPool, BackendTarget, ExchangeAnswer, ExchangeObserver,
+};
 use crate::sidecar::request::context::{CallContext, CallOutcome, NotRunCause, UnknownCause};
 
 /// Shortest time between notifications of a changed load.
@@ -99,6 +101,10 @@
         self.next.observe_head(target, headers);
     }
 
+    fn observe_answer(&self, context: &CallContext, answer: &ExchangeAnswer<'_>) {
+        self.next.observe_answer(context, answer);
+    }
+
     fn observe_end(&self, target: &BackendTarget) {
         self.next.observe_end(target);
     }
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod crash_watch;
 pub mod decision_log;
 pub(crate) mod directory;
+mod exchange_log;
 pub mod keyed_store;
 pub(crate) mod link_plan;
 pub(crate) mod notice_watch;
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -40,6 +40,12 @@
     event: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SurplusLabels {
+    server: &'static str,
+    origin: &'static str,
+}
+
 /// The metrics of one daemon.
 #[derive(Debug)]
 pub struct SidecarMetrics {
@@ -48,6 +54,7 @@
     organisations: Family<OrganisationLabels, Counter>,
     latency: Family<PriorityLabels, Histogram>,
     events: Family<EventLabels, Counter>,
+    surplus_answers: Family<SurplusLabels, Counter>,
     /// Requests running at the backend server.
     pub running: Gauge,
     /// Requests waiting for the backend server.
@@ -73,6 +80,12 @@
         let organisations = Family::<OrganisationLabels, Counter>::default();
         let latency = Family::<PriorityLabels, Histogram>::new_with_constructor(latency_histogram);
         let events = Family::<EventLabels, Counter>::default();
+        let surplus_answers = Family::<SurplusLabels, Counter>::default();
+        registry.register(
+            "surplus_answers",
+            "Answers that belong to no request under way, by kind of server and origin",
+            surplus_answers.clone(),
+        );
         let (running, waiting) = (Gauge::default(), Gauge::default());
         registry.register("requests", "Requests by service and outcome", requests.clone());
         registry.register(
@@ -128,6 +141,7 @@
             organisations,
             latency,
             events,
+            surplus_answers,
             running,
             waiting,
             backend_sends,
@@ -183,6 +197,18 @@
         self.events.get_or_create(&EventLabels { event }).inc();
     }
 
+    /// The count of answers from a kind of server that belong to no request under way.
+    ///
+    /// ```
+    /// use lentilway::sidecar::process::sidecar_metrics::SidecarMetrics;
+    /// let metrics = SidecarMetrics::default();
+    /// metrics.surplus_answers("backend", "earlier").inc();
+    /// assert!(metrics.text().contains("server=\"backend\",origin=\"earlier\"} 1"));
+    /// ```
+    pub fn surplus_answers(&self, server: &'static str, origin: &'static str) -> Counter {
+        self.surplus_answers.get_or_create(&SurplusLabels { server, origin }).clone()
+    }
+
     /// Sets the limit that the backend server states.
     ///
     /// ```
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use hyper::HeaderMap;
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -13,11 +12,12 @@
 use super::backend_call::BackendCall;
 use super::backend_watch::BackendWatch;
 use super::body_budget::{BodyBudget, UsualSize};
-use super::crash_watch::{CrashWatch, ProbationRun, not_run, observe_crash, observe_good_end};
+use super::crash_watch::{CrashWatch, ProbationRun, not_run, observe_good_end};
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{DirectoryEntry, DirectoryView, KnownVersion, apply_directory};
+use super::exchange_log::SURPLUS_SERVER;
 use super::keyed_store::{KeyedStore, StoreRead, StoreTopic};
-use super::notice_watch::{NoticeWatch, observe_notice};
+use super::notice_watch::NoticeWatch;
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
 use super::settings::SidecarSettings;
@@ -38,7 +38,7 @@
 use crate::policy::store_position::StorePosition;
 use crate::policy::weighted_split::WeightedSplit;
 use crate::process::stop::StopSignal;
-use crate::sidecar::connection::backend_pool::{BackendPool, BackendTarget, ExchangeObserver};
+use crate::sidecar::connection::backend_pool::BackendPool;
 use crate::sidecar::connection::frame::{ConfigReport, PeerMessage, TopicReport};
 use crate::sidecar::request::context::{CallOutcome, NotRunCause};
 use crate::sidecar::version::config_watch::{has_config, merge_config_read, merge_config_report};
@@ -119,7 +119,9 @@
     ) -> Self {
         let bodies = BodyBudget::new(settings.body_bytes);
         let headers = dialect.headers().clone();
-        let pool = BackendPool::new(clock.clone(), headers, bodies.clone());
+        let metrics = SidecarMetrics::default();
+        let idle_surplus = metrics.surplus_answers(SURPLUS_SERVER, "idle");
+        let pool = BackendPool::new(clock.clone(), headers, bodies.clone(), idle_surplus);
         let now = clock.now();
         SidecarShared {
             backend_admission: BackendAdmission::new(
@@ -150,7 +152,7 @@
             next_start_request: Mutex::new(now + START_REQUEST_DELAY),
             config: ArcSwapOption::empty(),
             lost_dependencies: Mutex::default(),
-            metrics: SidecarMetrics::default(),
+            metrics,
             settings,
             dialect,
             store,
@@ -435,18 +437,3 @@
         self.log.write(LineCategory::Change, event, &line);
     }
 }
-
-impl ExchangeObserver for SidecarShared {
-    fn observe_send(&self) {
-        self.metrics.backend_sends.inc();
-        self.notice_watch.count_send();
-    }
-
-    fn observe_head(&self, target: &BackendTarget, headers: &HeaderMap) {
-        observe_notice(self, &target.incarnation, &self.dialect.notice(headers));
-    }
-
-    fn observe_end(&self, target: &BackendTarget) {
-        observe_crash(self, &target.incarnation);
-    }
-}
