--- a/tests/suite/sidecar/kept_connections.rs
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -13,18 +13,19 @@
 use super::fleet::{KEY, TestFleet, own_loopback};
 
 const SIGNATURE: &str = "x-lentilway-server-signature: signed\r\n";
-const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-lentilway-not-executed: 1\r\n";
+pub(super) const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-lentilway-not-executed: 1\r\n";
 const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\n";
 const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\n";
-const NO_BODY: &str = "content-length: 0\r\n\r\n";
+pub(super) const NO_BODY: &str = "content-length: 0\r\n\r\n";
 
-fn whole_answer(id: &str) -> String {
+pub(super) fn whole_answer(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nx-lentilway-attempt-id: {id}\r\n{SIGNATURE}content-length: 5\r\n\r\nwhole"
     )
 }
 
-async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+pub(super) async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await?);
@@ -32,7 +33,7 @@
     Ok(String::from_utf8_lossy(&head).to_lowercase())
 }
 
-fn request_id(head: &str) -> &str {
+pub(super) fn request_id(head: &str) -> &str {
     let rest = head.split("x-lentilway-attempt-id: ").nth(1);
     rest.and_then(|rest| rest.lines().next()).unwrap_or_default()
 }
@@ -65,7 +66,7 @@
     Ok(())
 }
 
-async fn listen() -> (TcpListener, SocketAddr) {
+pub(super) async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind((own_loopback(), 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     (listener, address)
