A connection to a backend server carries each request once

What callers saw: TWICE, a request that was refused once ran twice (200, 2); REFUSED, a request that ran was answered 503.

Cause: an answer was attributed to a send by the id that it names. A refused request went back to the server on the connection that had carried its refusal, so that the id named two sends; the copy of the refusal counted for the second, which ran. The class: an answer is attributed by what it says of itself, and that does not tell sends apart.

Evidence: "sends_on_connection":2 in the lines of each case.

Change: a request is sent only on a connection that has not carried it, whoever sent it before; of the idle ones the newest such is taken, so that a new one is opened only if all have carried it. An answer that names more than one request belongs to none. Why it works: where each id was sent once, an answer with the id of the last send can only be an answer to that send.

--- /dev/null
+++ b/src/policy/answer_verdict.rs
@@ -0,0 +1,68 @@
+//! What an answer of a backend server says about the run of a request.
+//!
+//! Handles overloaded servers that refuse requests, and faulty ones whose answers contradict
+//! themselves. "Not run" is believed only where nothing speaks against it: it lets the request be sent
+//! again, or is passed on to the caller as a promise.
+
+use super::exchange_history::AnswerOrigin;
+
+/// Another server than the one that was named got the request.
+const MISDIRECTED: u16 = 421;
+
+/// The head of an answer, as far as it tells about the run.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerTraits {
+    /// The request that it belongs to.
+    pub origin: AnswerOrigin,
+    /// The HTTP status.
+    pub status: u16,
+    /// Whether it states that the request did not run.
+    pub is_marked: bool,
+    /// Whether the server signed it.
+    pub is_signed: bool,
+    /// Whether its body is encoded, which is not the server's.
+    pub is_encoded: bool,
+}
+
+/// What an answer is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// The server answered; the caller gets the answer.
+    Answered,
+    /// The server did not run the request and never will.
+    Refused,
+    /// It says nothing about the request, which may have run.
+    Spoiled,
+}
+
+impl AnswerTraits {
+    /// What the answer is taken for.
+    ///
+    /// ```
+    /// use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
+    /// use lentilway::policy::exchange_history::AnswerOrigin;
+    /// let refusal = AnswerTraits {
+    ///     origin: AnswerOrigin::Own,
+    ///     status: 503,
+    ///     is_marked: true,
+    ///     is_signed: false,
+    ///     is_encoded: false,
+    /// };
+    /// assert_eq!(refusal.verdict(), AnswerVerdict::Refused);
+    /// let copy = AnswerTraits { origin: AnswerOrigin::Earlier, ..refusal };
+    /// assert_eq!(copy.verdict(), AnswerVerdict::Spoiled);
+    /// ```
+    pub fn verdict(&self) -> AnswerVerdict {
+        if !self.origin.is_own() {
+            return AnswerVerdict::Spoiled;
+        }
+        if self.is_marked || self.status == MISDIRECTED {
+            return AnswerVerdict::Refused;
+        }
+        if (200..300).contains(&self.status) {
+            let is_proven = self.is_signed && !self.is_encoded && self.origin == AnswerOrigin::Own;
+            return if is_proven { AnswerVerdict::Answered } else { AnswerVerdict::Spoiled };
+        }
+        AnswerVerdict::Answered
+    }
+}
--- a/src/policy/exchange_history.rs
+++ b/src/policy/exchange_history.rs
@@ -2,8 +2,7 @@
 //!
 //! Handles servers that answer more often than they are asked: on a kept connection, the surplus
 //! answer arrives where the one to a later request is due. It names the request that it belongs to.
-//! That tells it from the answer that is due only if the same request was not sent before on the
-//! connection.
+//! That tells it from the answer that is due only if a connection carries each request once.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -64,6 +63,25 @@
         self.hashes.push(hash(request_id.as_bytes()));
     }
 
+    /// Whether a request may be sent: an answer to it is told from all other answers if it was not
+    /// sent before.
+    ///
+    /// ```
+    /// use lentilway::policy::exchange_history::ExchangeHistory;
+    /// let mut history = ExchangeHistory::default();
+    /// history.begin("a");
+    /// assert!(!history.may_carry("a"));
+    /// assert!(history.may_carry("b"));
+    /// ```
+    pub fn may_carry(&self, request_id: &str) -> bool {
+        !self.is_full() && self.sends(request_id) == 0
+    }
+
+    /// Whether the connection must be replaced.
+    pub fn is_full(&self) -> bool {
+        self.count() >= EXCHANGES_MAX
+    }
+
     /// The number of requests that were sent.
     pub fn count(&self) -> usize {
         self.hashes.len()
@@ -82,18 +100,22 @@
         self.hashes.iter().filter(|hash| **hash == sent).count()
     }
 
-    /// The origin of an answer that names these requests.
+    /// The origin of an answer that names these requests, if `request_id` was sent last.
     ///
     /// ```
     /// use lentilway::policy::exchange_history::{AnswerOrigin, ExchangeHistory};
     /// let mut history = ExchangeHistory::default();
     /// history.begin("a");
-    /// assert_eq!(history.origin([]), AnswerOrigin::First);
+    /// assert_eq!(history.origin("a", []), AnswerOrigin::First);
     /// history.begin("b");
-    /// assert_eq!(history.origin([&b"a"[..]]), AnswerOrigin::Earlier);
-    /// assert_eq!(history.origin([&b"b"[..]]), AnswerOrigin::Own);
+    /// assert_eq!(history.origin("b", [&b"a"[..]]), AnswerOrigin::Earlier);
+    /// assert_eq!(history.origin("b", [&b"b"[..]]), AnswerOrigin::Own);
     /// ```
-    pub fn origin<'a>(&self, named: impl IntoIterator<Item = &'a [u8]>) -> AnswerOrigin {
+    pub fn origin<'a>(
+        &self,
+        request_id: &str,
+        named: impl IntoIterator<Item = &'a [u8]>,
+    ) -> AnswerOrigin {
         let mut named = named.into_iter();
         let Some(name) = named.next() else {
             return match self.count() {
@@ -101,12 +123,11 @@
                 _ => AnswerOrigin::Unnamed,
             };
         };
-        let name = hash(name);
         if named.next().is_some() {
             AnswerOrigin::Ambiguous
-        } else if self.hashes.last() == Some(&name) {
+        } else if name == request_id.as_bytes() {
             AnswerOrigin::Own
-        } else if self.hashes.contains(&name) {
+        } else if self.hashes.contains(&hash(name)) {
             AnswerOrigin::Earlier
         } else {
             AnswerOrigin::Foreign
--- a/src/sidecar/connection/backend_connection.rs
+++ b/src/sidecar/connection/backend_connection.rs
@@ -46,8 +46,6 @@
     pub(super) address: SocketAddr,
     pub(super) idle_since: MilliTime,
     pub(super) idle_max: Duration,
-    /// Whether an answer was received on it.
-    pub(super) has_answered: bool,
     pub(super) history: ExchangeHistory,
     pub(super) meter: Arc<ReadMeter>,
     _task: ConnectionTask,
@@ -79,12 +77,19 @@
             address,
             idle_since: now,
             idle_max: IDLE_MAX,
-            has_answered: false,
             history: ExchangeHistory::default(),
             meter,
             _task: ConnectionTask(task),
         })
     }
+
+    /// Whether it can be used for requests to a server at `address`.
+    pub(super) fn is_usable(&self, address: SocketAddr, now: MilliTime) -> bool {
+        self.address == address
+            && now.since(self.idle_since) < self.idle_max
+            && !self.history.is_full()
+            && !self.sender.is_closed()
+    }
 }
 
 /// Whether a connection ended because bytes arrived on it while it was idle. The library has no
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -14,6 +14,7 @@
 use super::backend_connection::{BackendConnection, IDLE_MAX};
 use super::metered_stream::ReadMeter;
 use crate::clock::MilliClock;
+use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
 use crate::policy::exchange_history::AnswerOrigin;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::request::header::end_to_end;
@@ -144,7 +145,7 @@
         observer: &dyn ExchangeObserver,
     ) -> CallOutcome {
         loop {
-            let pooled = self.take_idle(target.address, runs_once);
+            let pooled = self.take_idle(target.address, &context.request_id, runs_once);
             let is_pooled = pooled.is_some();
             let connection = match pooled {
                 Some(connection) => connection,
@@ -165,13 +166,14 @@
             connection.history.begin(&context.request_id);
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
-                    let origin = self.origin(&connection, answer.headers());
+                    let origin = self.origin(&connection, context, answer.headers());
                     let head = Some((answer.status(), answer.headers(), origin));
                     observer.observe_answer(context, &seen_on(&connection, context, head));
-                    if self.is_answer_to(context, &connection, answer.headers()) {
+                    if origin.is_own() {
                         observer.observe_head(target, answer.headers());
                     }
-                    return self.finish_exchange(connection, answer, context).await;
+                    let verdict = self.answer_traits(&answer, origin).verdict();
+                    return self.finish_exchange(connection, answer, verdict).await;
                 }
                 Err(mut error) => match error.take_message() {
                     // The pooled connection was closed before anything was written.
@@ -193,16 +195,15 @@
         &self,
         mut connection: BackendConnection,
         answer: Response<hyper::body::Incoming>,
-        context: &CallContext,
+        verdict: AnswerVerdict,
     ) -> CallOutcome {
         let keep_alive = keep_alive_timeout(answer.headers());
         let closes = has_connection_close(answer.headers());
-        if !self.is_answer_to(context, &connection, answer.headers()) {
+        if verdict == AnswerVerdict::Spoiled {
             return self.give_up(&connection, UnknownCause::Spoiled);
         }
-        match self.receive(answer, context, &connection.meter).await {
+        match self.receive(answer, verdict, &connection.meter).await {
             Ok(outcome) => {
-                connection.has_answered = true;
                 // Bytes after the answer close the connection.
                 yield_now().await;
                 if !closes && !connection.sender.is_closed() {
@@ -219,7 +220,7 @@
     /// Ends an exchange without an answer. If its connection was a kept one, the others may be spoiled
     /// too, so that they are closed and a resend gets a new one.
     fn give_up(&self, connection: &BackendConnection, cause: UnknownCause) -> CallOutcome {
-        if connection.has_answered {
+        if connection.history.count() > 1 {
             self.clear();
         }
         CallOutcome::Unknown(cause)
@@ -228,7 +229,7 @@
     async fn receive(
         &self,
         answer: Response<hyper::body::Incoming>,
-        context: &CallContext,
+        verdict: AnswerVerdict,
         meter: &ReadMeter,
     ) -> Result<CallOutcome, UnknownCause> {
         let (parts, body) = answer.into_parts();
@@ -240,16 +241,15 @@
             BodyError::TooLarge { .. } => UnknownCause::TooLarge,
             BodyError::Broken { .. } => UnknownCause::Broken,
         })?;
-        let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
-        if is_misdirected || parts.headers.contains_key(&self.headers.not_run) {
-            let cause = NotRunCause::BackendRefused;
-            return Ok(CallOutcome::NotRun { cause, capacity_in_millis: 0 });
-        }
-        let is_signed = parts.headers.contains_key(&self.headers.signature);
-        let is_encoded = parts.headers.contains_key(CONTENT_ENCODING);
-        let has_request_id = id_matches(&parts.headers, &self.headers.request_id, context);
-        if parts.status.is_success() && (!is_signed || is_encoded || !has_request_id) {
-            return Err(UnknownCause::Spoiled);
+        match verdict {
+            AnswerVerdict::Answered => {}
+            AnswerVerdict::Refused => {
+                let cause = NotRunCause::BackendRefused;
+                return Ok(CallOutcome::NotRun { cause, capacity_in_millis: 0 });
+            }
+            AnswerVerdict::Spoiled => {
+                return Ok(CallOutcome::Unknown(UnknownCause::Spoiled));
+            }
         }
         let mut headers = end_to_end(&parts.headers);
         // The daemon that received the request sets the id and the date itself.
@@ -260,23 +260,29 @@
         Ok(CallOutcome::Answered(BackendAnswer { status, headers, body }))
     }
 
-    /// Whether the answer belongs to the request: it names its id, or names none and is the first on
-    /// its connection. On a kept connection, an earlier answer may arrive once more.
-    fn is_answer_to(
+    fn origin(
         &self,
-        context: &CallContext,
         connection: &BackendConnection,
+        context: &CallContext,
         headers: &HeaderMap,
-    ) -> bool {
-        match headers.get(&self.headers.request_id) {
-            Some(id) => id.as_bytes() == context.request_id.as_bytes(),
-            None => !connection.has_answered,
-        }
+    ) -> AnswerOrigin {
+        let named = headers.get_all(&self.headers.request_id);
+        connection.history.origin(&context.request_id, named.iter().map(HeaderValue::as_bytes))
     }
 
-    fn origin(&self, connection: &BackendConnection, headers: &HeaderMap) -> AnswerOrigin {
-        let named = headers.get_all(&self.headers.request_id);
-        connection.history.origin(named.iter().map(HeaderValue::as_bytes))
+    fn answer_traits(
+        &self,
+        answer: &Response<hyper::body::Incoming>,
+        origin: AnswerOrigin,
+    ) -> AnswerTraits {
+        let headers = answer.headers();
+        AnswerTraits {
+            origin,
+            status: answer.status().as_u16(),
+            is_marked: headers.contains_key(&self.headers.not_run),
+            is_signed: headers.contains_key(&self.headers.signature),
+            is_encoded: headers.contains_key(CONTENT_ENCODING),
+        }
     }
 
     fn build_request(
@@ -305,22 +311,24 @@
         Some(outgoing)
     }
 
-    fn take_idle(&self, address: SocketAddr, runs_once: bool) -> Option<BackendConnection> {
+    /// Takes the newest idle connection that may carry the request.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+        runs_once: bool,
+    ) -> Option<BackendConnection> {
         let now = self.clock.now();
         let bound = if runs_once { IDLE_MAX_RUNS_ONCE } else { IDLE_MAX };
         let mut idle = self.idle.lock().expect("lock not poisoned");
-        let is_usable = |connection: &BackendConnection| {
-            let age = now.since(connection.idle_since);
-            connection.address == address
-                && age < connection.idle_max
-                && !connection.sender.is_closed()
+        idle.retain(|connection| connection.is_usable(address, now));
+        let may_carry = |connection: &BackendConnection| {
+            now.since(connection.idle_since) < bound
+                && connection.sender.is_ready()
+                && connection.history.may_carry(request_id)
         };
-        idle.retain(is_usable);
-        let newest = idle.last()?;
-        if now.since(newest.idle_since) >= bound || !newest.sender.is_ready() {
-            return None;
-        }
-        idle.pop()
+        let newest = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(newest))
     }
 
     async fn connect(&self, address: SocketAddr) -> std::io::Result<BackendConnection> {
@@ -345,10 +353,6 @@
     }
 }
 
-fn id_matches(headers: &HeaderMap, name: &HeaderName, context: &CallContext) -> bool {
-    headers.get(name).is_some_and(|id| id.as_bytes() == context.request_id.as_bytes())
-}
-
 fn text_value(text: &str) -> Option<HeaderValue> {
     HeaderValue::from_str(text).ok()
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -4,6 +4,7 @@
 mod backend_notice;
 mod caller_retry;
 mod crash_ledger;
+mod exchanges;
 mod incarnation;
 mod limits;
 mod link_subset;
--- /dev/null
+++ b/tests/suite/policy/exchanges.rs
@@ -0,0 +1,95 @@
+//! What a connection carried, and what its answers say about a run.
+
+use googletest::prelude::*;
+use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
+use lentilway::policy::exchange_history::{AnswerOrigin, EXCHANGES_MAX, ExchangeHistory};
+
+fn history_of(ids: &[&str]) -> ExchangeHistory {
+    let mut history = ExchangeHistory::default();
+    ids.iter().for_each(|id| history.begin(id));
+    history
+}
+
+#[gtest]
+fn origin_kept_connection() {
+    let history = history_of(&["a", "b"]);
+    let origin = |named: &[&str]| history.origin("b", named.iter().map(|id| id.as_bytes()));
+    expect_that!(origin(&["b"]), eq(AnswerOrigin::Own));
+    expect_that!(origin(&["a"]), eq(AnswerOrigin::Earlier));
+    expect_that!(origin(&["c"]), eq(AnswerOrigin::Foreign));
+    expect_that!(origin(&[]), eq(AnswerOrigin::Unnamed));
+    expect_that!(origin(&["b", "a"]), eq(AnswerOrigin::Ambiguous));
+}
+
+#[gtest]
+fn origin_new_connection() {
+    let history = history_of(&["a"]);
+    expect_that!(history.origin("a", []), eq(AnswerOrigin::First));
+    expect_that!(history.origin("a", [&b"b"[..]]), eq(AnswerOrigin::Foreign));
+}
+
+/// An answer names its request, not its send.
+#[gtest]
+fn may_carry_each_request_once() {
+    let history = history_of(&["a", "b"]);
+    expect_that!(history.may_carry("a"), eq(false));
+    expect_that!(history.may_carry("b"), eq(false));
+    expect_that!(history.may_carry("c"), eq(true));
+}
+
+#[gtest]
+fn may_carry_bounded() {
+    let mut history = ExchangeHistory::default();
+    for number in 0..EXCHANGES_MAX {
+        expect_that!(history.may_carry(&number.to_string()), eq(true));
+        history.begin(&number.to_string());
+    }
+    expect_that!(history.may_carry("another"), eq(false));
+    expect_that!(history.is_full(), eq(true));
+}
+
+const REFUSAL: AnswerTraits = AnswerTraits {
+    origin: AnswerOrigin::Own,
+    status: 503,
+    is_marked: true,
+    is_signed: false,
+    is_encoded: false,
+};
+const SUCCESS: AnswerTraits =
+    AnswerTraits { status: 200, is_marked: false, is_signed: true, ..REFUSAL };
+
+#[gtest]
+fn verdict_other_origin() {
+    for origin in [
+        AnswerOrigin::Earlier,
+        AnswerOrigin::Foreign,
+        AnswerOrigin::Unnamed,
+        AnswerOrigin::Ambiguous,
+    ] {
+        for answer in [REFUSAL, SUCCESS, AnswerTraits { status: 421, ..REFUSAL }] {
+            let answer = AnswerTraits { origin, ..answer };
+            expect_that!(answer.verdict(), eq(AnswerVerdict::Spoiled), "{answer:?}");
+        }
+    }
+}
+
+#[gtest]
+fn verdict_refusal() {
+    expect_that!(REFUSAL.verdict(), eq(AnswerVerdict::Refused));
+    let unnamed = AnswerTraits { origin: AnswerOrigin::First, ..REFUSAL };
+    expect_that!(unnamed.verdict(), eq(AnswerVerdict::Refused));
+    let misdirected = AnswerTraits { status: 421, is_marked: false, ..REFUSAL };
+    expect_that!(misdirected.verdict(), eq(AnswerVerdict::Refused));
+}
+
+#[gtest]
+fn verdict_success() {
+    expect_that!(SUCCESS.verdict(), eq(AnswerVerdict::Answered));
+    for spoiled in [
+        AnswerTraits { is_signed: false, ..SUCCESS },
+        AnswerTraits { is_encoded: true, ..SUCCESS },
+        AnswerTraits { origin: AnswerOrigin::First, ..SUCCESS },
+    ] {
+        expect_that!(spoiled.verdict(), eq(AnswerVerdict::Spoiled), "{spoiled:?}");
+    }
+}
