"Not run" needs both the mark and a status that can say so

What callers saw: REFUSED without a copy. A request of an unsafe route that ran and ended with 408, 429 or 503 of the server's own got that status, which promises that it did not run; one that ended with 200, 404, 500 or 504 beside a stray mark got 503, in the case of 200 after a second run.

Cause: the mark alone decided, and a status was passed on whatever it promises.

Change: policy::answer_verdict. Refused: 421, or the mark on 400, 408, 421, 429, 503. A 408, 429 or 503 without the mark to a request that runs once is reported as 502, "may have run"; requests that may run again get it as before. A success beside the mark is delivered.

Ruled out: closing the connection as well; such an answer belongs to the request, and an overloaded server would cost a connection each.

--- a/src/policy/answer_verdict.rs
+++ b/src/policy/answer_verdict.rs
@@ -6,8 +6,12 @@
 
 use super::exchange_history::AnswerOrigin;
 
+/// Statuses with which a server may state that it did not run a request.
+const REFUSAL_STATUSES: [u16; 5] = [400, 408, MISDIRECTED, 429, 503];
 /// Another server than the one that was named got the request.
 const MISDIRECTED: u16 = 421;
+/// Statuses that promise a caller that its request did not run.
+const PROMISE_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 
 /// The head of an answer, as far as it tells about the run.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +26,8 @@
     pub is_signed: bool,
     /// Whether its body is encoded, which is not the server's.
     pub is_encoded: bool,
+    /// Whether the request must not run twice.
+    pub runs_once: bool,
 }
 
 /// What an answer is taken for.
@@ -33,6 +39,8 @@
     Refused,
     /// It says nothing about the request, which may have run.
     Spoiled,
+    /// It belongs to the request, and would promise the caller what the server did not state.
+    Unproven,
 }
 
 impl AnswerTraits {
@@ -47,6 +55,7 @@
     ///     is_marked: true,
     ///     is_signed: false,
     ///     is_encoded: false,
+    ///     runs_once: true,
     /// };
     /// assert_eq!(refusal.verdict(), AnswerVerdict::Refused);
     /// let copy = AnswerTraits { origin: AnswerOrigin::Earlier, ..refusal };
@@ -56,13 +65,17 @@
         if !self.origin.is_own() {
             return AnswerVerdict::Spoiled;
         }
-        if self.is_marked || self.status == MISDIRECTED {
-            return AnswerVerdict::Refused;
-        }
         if (200..300).contains(&self.status) {
             let is_proven = self.is_signed && !self.is_encoded && self.origin == AnswerOrigin::Own;
             return if is_proven { AnswerVerdict::Answered } else { AnswerVerdict::Spoiled };
         }
-        AnswerVerdict::Answered
+        let is_refusal = self.is_marked && REFUSAL_STATUSES.contains(&self.status);
+        if is_refusal || self.status == MISDIRECTED {
+            return AnswerVerdict::Refused;
+        }
+        match self.runs_once && PROMISE_STATUSES.contains(&self.status) {
+            true => AnswerVerdict::Unproven,
+            false => AnswerVerdict::Answered,
+        }
     }
 }
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -172,7 +172,7 @@
                     if origin.is_own() {
                         observer.observe_head(target, answer.headers());
                     }
-                    let verdict = self.answer_traits(&answer, origin).verdict();
+                    let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
                     return self.finish_exchange(connection, answer, verdict).await;
                 }
                 Err(mut error) => match error.take_message() {
@@ -247,7 +247,7 @@
                 let cause = NotRunCause::BackendRefused;
                 return Ok(CallOutcome::NotRun { cause, capacity_in_millis: 0 });
             }
-            AnswerVerdict::Spoiled => {
+            AnswerVerdict::Spoiled | AnswerVerdict::Unproven => {
                 return Ok(CallOutcome::Unknown(UnknownCause::Spoiled));
             }
         }
@@ -274,6 +274,7 @@
         &self,
         answer: &Response<hyper::body::Incoming>,
         origin: AnswerOrigin,
+        runs_once: bool,
     ) -> AnswerTraits {
         let headers = answer.headers();
         AnswerTraits {
@@ -282,6 +283,7 @@
             is_marked: headers.contains_key(&self.headers.not_run),
             is_signed: headers.contains_key(&self.headers.signature),
             is_encoded: headers.contains_key(CONTENT_ENCODING),
+            runs_once,
         }
     }
 
--- a/tests/suite/policy/exchanges.rs
+++ b/tests/suite/policy/exchanges.rs
@@ -54,6 +54,7 @@
     is_marked: true,
     is_signed: false,
     is_encoded: false,
+    runs_once: true,
 };
 const SUCCESS: AnswerTraits =
     AnswerTraits { status: 200, is_marked: false, is_signed: true, ..REFUSAL };
@@ -93,3 +94,22 @@
         expect_that!(spoiled.verdict(), eq(AnswerVerdict::Spoiled), "{spoiled:?}");
     }
 }
+
+/// A server that ran a request says so with statuses that callers take for "not run", too.
+#[gtest]
+fn verdict_unmarked_promise() {
+    for status in [408, 429, 503] {
+        let answer = AnswerTraits { status, is_marked: false, is_signed: true, ..REFUSAL };
+        expect_that!(answer.verdict(), eq(AnswerVerdict::Unproven), "{status}");
+        let repeatable = AnswerTraits { runs_once: false, ..answer };
+        expect_that!(repeatable.verdict(), eq(AnswerVerdict::Answered), "{status}");
+    }
+}
+
+#[gtest]
+fn verdict_mark_on_status_that_ran() {
+    for status in [200, 204, 302, 404, 500, 504] {
+        let answer = AnswerTraits { status, is_marked: true, is_signed: true, ..REFUSAL };
+        expect_that!(answer.verdict(), eq(AnswerVerdict::Answered), "{status}");
+    }
+}
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -188,6 +188,8 @@
     Disconnects,
     /// It reports that it did not run the request.
     Sheds,
+    /// It runs the request and answers with this status, marked as "not run" or not.
+    Ends { status: u16, is_marked: bool },
 }
 
 /// A backend server that counts the requests that reach it.
@@ -319,6 +321,12 @@
             headers.insert("x-lentilway-not-executed", "1".parse().unwrap());
             *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
         }
+        BackendBehaviour::Ends { status, is_marked } => {
+            if is_marked {
+                headers.insert("x-lentilway-not-executed", "1".parse().unwrap());
+            }
+            *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap();
+        }
     }
     for (name, value) in state.statements.lock().unwrap().iter() {
         response.headers_mut().insert(*name, value.parse().unwrap());
--- a/tests/suite/sidecar/outcomes.rs
+++ b/tests/suite/sidecar/outcomes.rs
@@ -41,6 +41,39 @@
     expect_that!(answer.headers.contains_key("retry-after"), eq(true));
 }
 
+/// A status that callers take for "not run" is no such promise if the backend server did not say so.
+#[gtest]
+#[tokio::test]
+async fn write_unmarked_promise_not_passed_on() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/write/1", KEY, 200).await;
+    for status in [408, 429, 503] {
+        daemon.backend.set_behaviour(BackendBehaviour::Ends { status, is_marked: false });
+        let before = daemon.backend.arrivals();
+        let answer = fleet.send(&daemon, "/write/1", KEY).await;
+        expect_that!(answer.status, eq(502), "{status}");
+        expect_that!(answer.headers["lentilway-execution"], eq("may-have-run"), "{status}");
+        expect_that!(daemon.backend.arrivals() - before, eq(1), "{status}");
+    }
+}
+
+/// "Not run" beside a status that counts as run does not make a request run again.
+#[gtest]
+#[tokio::test]
+async fn write_marked_end_not_resent() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/write/1", KEY, 200).await;
+    for status in [200, 404, 500, 504] {
+        daemon.backend.set_behaviour(BackendBehaviour::Ends { status, is_marked: true });
+        let before = daemon.backend.arrivals();
+        let answer = fleet.send(&daemon, "/write/1", KEY).await;
+        expect_that!(answer.status, eq(status));
+        expect_that!(daemon.backend.arrivals() - before, eq(1), "{status}");
+    }
+}
+
 /// Resends after refusals by backend servers are limited by the retry budget.
 #[gtest]
 #[tokio::test]
