An answer that begins with a cut part of another one is believed in nothing

What callers saw: REFUSED, TWICE and MIXED without a whole copy. A server writes a part of an answer too many, cut in a value or in the reason phrase, and then the answer that is due. Read together they are one head: the status and the marks of the first, the id of the second.

Found by asking what happens to a copy that comes in pieces.

Change: a head that contains another status line in a value or in its reason phrase is spoiled: 502 for a request that runs once. Cuts elsewhere are errors of the parser already, or leave the earlier id. Ruled out: a bound on repeated headers, which servers may send; the check for "HTTP/1." alone, which a Via header may contain.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::ext::ReasonPhrase;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, DATE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use prometheus_client::metrics::counter::Counter;
@@ -14,7 +15,7 @@
 use super::backend_connection::{BackendConnection, IDLE_MAX};
 use super::metered_stream::ReadMeter;
 use crate::clock::MilliClock;
-use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
+use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict, has_status_line};
 use crate::policy::exchange_history::AnswerOrigin;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::request::header::end_to_end;
@@ -283,6 +284,7 @@
             is_marked: headers.contains_key(&self.headers.not_run),
             is_signed: headers.contains_key(&self.headers.signature),
             is_encoded: headers.contains_key(CONTENT_ENCODING),
+            is_merged: is_merged(answer),
             runs_once,
         }
     }
@@ -355,6 +357,12 @@
     }
 }
 
+fn is_merged(answer: &Response<hyper::body::Incoming>) -> bool {
+    let reason = answer.extensions().get::<ReasonPhrase>();
+    reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
+        || answer.headers().values().any(|value| has_status_line(value.as_bytes()))
+}
+
 fn text_value(text: &str) -> Option<HeaderValue> {
     HeaderValue::from_str(text).ok()
 }
--- a/tests/suite/policy/exchanges.rs
+++ b/tests/suite/policy/exchanges.rs
@@ -1,7 +1,7 @@
 //! What a connection carried, and what its answers say about a run.
 
 use googletest::prelude::*;
-use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
+use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict, has_status_line};
 use lentilway::policy::exchange_history::{AnswerOrigin, EXCHANGES_MAX, ExchangeHistory};
 
 fn history_of(ids: &[&str]) -> ExchangeHistory {
@@ -54,6 +54,7 @@
     is_marked: true,
     is_signed: false,
     is_encoded: false,
+    is_merged: false,
     runs_once: true,
 };
 const SUCCESS: AnswerTraits =
@@ -79,6 +80,8 @@
     expect_that!(REFUSAL.verdict(), eq(AnswerVerdict::Refused));
     let unnamed = AnswerTraits { origin: AnswerOrigin::First, ..REFUSAL };
     expect_that!(unnamed.verdict(), eq(AnswerVerdict::Refused));
+    let merged = AnswerTraits { is_merged: true, ..REFUSAL };
+    expect_that!(merged.verdict(), eq(AnswerVerdict::Spoiled));
     let misdirected = AnswerTraits { status: 421, is_marked: false, ..REFUSAL };
     expect_that!(misdirected.verdict(), eq(AnswerVerdict::Refused));
 }
@@ -89,6 +92,7 @@
     for spoiled in [
         AnswerTraits { is_signed: false, ..SUCCESS },
         AnswerTraits { is_encoded: true, ..SUCCESS },
+        AnswerTraits { is_merged: true, ..SUCCESS },
         AnswerTraits { origin: AnswerOrigin::First, ..SUCCESS },
     ] {
         expect_that!(spoiled.verdict(), eq(AnswerVerdict::Spoiled), "{spoiled:?}");
@@ -113,3 +117,13 @@
         expect_that!(answer.verdict(), eq(AnswerVerdict::Answered), "{status}");
     }
 }
+
+#[gtest]
+fn has_status_line_examples() {
+    for value in ["HTTP/1.1 200 OK", "closeHTTP/1.0 503 ", "MisHTTP/1.1 421"] {
+        expect_that!(has_status_line(value.as_bytes()), eq(true), "{value}");
+    }
+    for value in ["", "HTTP/1.1", "HTTP/1.1 proxy.example", "HTTP/2 200 OK"] {
+        expect_that!(has_status_line(value.as_bytes()), eq(false), "{value}");
+    }
+}
--- a/tests/suite/sidecar/kept_connections.rs
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -213,3 +213,71 @@
         }
     }
 }
+
+/// Answers requests wholly, and one for a cut copy with the first `cut` bytes of `surplus`, which
+/// names the request before it, and then with `due`. `{id}` stands for the request's id.
+async fn serve_after_cut(
+    mut stream: TcpStream,
+    (surplus, due): (String, String),
+    cut: usize,
+    runs: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    let mut last_id = String::new();
+    loop {
+        let head = read_head(&mut stream).await?;
+        let id = request_id(&head).to_owned();
+        if head.contains("/write/cut") {
+            runs.fetch_add(1, Ordering::SeqCst);
+            stream.write_all(&surplus.replace("{id}", &last_id).as_bytes()[..cut]).await?;
+            stream.write_all(due.replace("{id}", &id).as_bytes()).await?;
+        } else {
+            stream.write_all(whole_answer(&id).as_bytes()).await?;
+        }
+        last_id = id;
+    }
+}
+
+/// An answer too many that is cut at any byte does not lend its status to the one that follows it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_after_surplus_cut_at_every_byte() {
+    let id = "x-lentilway-attempt-id: {id}\r\n";
+    let success = format!("HTTP/1.1 200 OK\r\n{SIGNATURE}{id}content-length: 5\r\n\r\nwhole");
+    let failure = format!("{FAILURE}{SIGNATURE}{id}{NO_BODY}");
+    let refusals = [REFUSAL, MISDIRECTED].map(|head| format!("{head}{id}{NO_BODY}"));
+    for (surplus, due, status) in [
+        (&refusals[0], &success, 200),
+        (&refusals[1], &success, 200),
+        (&failure, &success, 200),
+        (&success, &failure, 500),
+    ] {
+        let (listener, address) = listen().await;
+        let (cut, runs) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let (current, run_count) = (cut.clone(), runs.clone());
+        let served = (surplus.clone(), due.clone());
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let cut = current.load(Ordering::SeqCst);
+                // An error means that the daemon has closed the connection.
+                tokio::spawn(serve_after_cut(stream, served.clone(), cut, run_count.clone()));
+            }
+        });
+        let fleet = TestFleet::new();
+        let daemon = fleet.start_beside("one", "stock", address).await;
+        fleet.skip_ids_to(1_000);
+        for bytes in 0..surplus.len() {
+            cut.store(bytes, Ordering::SeqCst);
+            // Connections to the server's earlier start are closed.
+            expect_that!(fleet.announce_born(&daemon, 2 + bytes as u64, 1, "ready").await, eq(200));
+            // Failures in a row would have the daemon refuse requests unsent.
+            for _ in 0..3 {
+                fleet.until(&daemon, "/write/whole", KEY, 200).await;
+            }
+            let answer = fleet.send(&daemon, "/write/cut", KEY).await;
+            let is_true = answer.status == status || answer.status == 502;
+            expect_that!(is_true, eq(true), "{}: {bytes} bytes of {surplus}", answer.status);
+            expect_that!(runs.swap(0, Ordering::SeqCst), eq(1), "{bytes} bytes of {surplus}");
+        }
+    }
+}
