A connection whose answer named no request is not kept

What callers saw: 502, "may have run", for requests that the server had refused without naming them, each time the connection had carried one such refusal before. Cause: the first answer on a connection needs no id, but the next one without an id cannot be told from its copy, so that it was spoiled; the connection was kept all the same.

Change: such a connection is closed after its answer. Ruled out: believing a later answer without an id, which is what a copy looks like.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -174,7 +174,7 @@
                         observer.observe_head(target, answer.headers());
                     }
                     let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
-                    return self.finish_exchange(connection, answer, verdict).await;
+                    return self.finish_exchange(connection, answer, origin, verdict).await;
                 }
                 Err(mut error) => match error.take_message() {
                     // The pooled connection was closed before anything was written.
@@ -196,10 +196,12 @@
         &self,
         mut connection: BackendConnection,
         answer: Response<hyper::body::Incoming>,
+        origin: AnswerOrigin,
         verdict: AnswerVerdict,
     ) -> CallOutcome {
         let keep_alive = keep_alive_timeout(answer.headers());
-        let closes = has_connection_close(answer.headers());
+        // No later answer without an id could be told from a copy of this one.
+        let closes = has_connection_close(answer.headers()) || origin == AnswerOrigin::First;
         if verdict == AnswerVerdict::Spoiled {
             return self.give_up(&connection, UnknownCause::Spoiled);
         }
--- a/tests/suite/sidecar/copied_refusals.rs
+++ b/tests/suite/sidecar/copied_refusals.rs
@@ -109,3 +109,39 @@
         expect_that!(is_true, eq(true), "{id} ran {runs} times, answered {}", answer.status);
     }
 }
+
+/// Refuses all writes in answers that name no request.
+async fn serve_unnamed_refusals(mut stream: TcpStream) -> std::io::Result<()> {
+    loop {
+        let head = read_head(&mut stream).await?;
+        let answer = match head.contains("/write/") {
+            true => format!("{REFUSAL}{NO_BODY}"),
+            false => whole_answer(request_id(&head)),
+        };
+        stream.write_all(answer.as_bytes()).await?;
+    }
+}
+
+/// A connection on which an answer named no request is not used for the next one, whose refusal
+/// could not be told from a copy.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_unnamed_next_is_attributed() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            // An error means that the daemon has closed the connection.
+            tokio::spawn(serve_unnamed_refusals(stream));
+        }
+    });
+    let fleet = TestFleet::new();
+    let daemon = fleet.start_beside("one", "stock", address).await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    // It comes on the connection of the read, so that it cannot be attributed.
+    expect_that!(fleet.send(&daemon, "/write/1", KEY).await.status, eq(502));
+    for number in 0..REQUESTS {
+        let answer = fleet.send(&daemon, "/write/1", KEY).await;
+        expect_that!(answer.status, eq(503), "request {number}");
+    }
+}
