After an answer too many, a request that must not run twice gets its own connection

What callers saw: nearly each copy cost a good request. It arrives where the answer to the next request on the connection is due, that request's own answer is lost, and if it must not run twice its caller gets 502, "may have run". Requests that may run again are resent and lose nothing.

Cause: copies take up a place on a kept connection. Change: for 10 s after an answer too many, an idle connection's included, such requests are sent on new connections, which are closed after the answer (policy::surplus_doubt). Ruled out: reading on for the true answer, which needs an HTTP parser of our own below the library's; new connections for all requests, as the others lose nothing.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -27,5 +27,6 @@
 pub mod run_registry;
 pub mod stop_schedule;
 pub mod store_position;
+pub mod surplus_doubt;
 pub mod token_share;
 pub mod weighted_split;
--- a/src/sidecar/connection/backend_connection.rs
+++ b/src/sidecar/connection/backend_connection.rs
@@ -46,6 +46,8 @@
     pub(super) address: SocketAddr,
     pub(super) idle_since: MilliTime,
     pub(super) idle_max: Duration,
+    /// Whether it may be used again after the exchange under way.
+    pub(super) is_kept: bool,
     pub(super) history: ExchangeHistory,
     pub(super) meter: Arc<ReadMeter>,
     _task: ConnectionTask,
@@ -77,6 +79,7 @@
             address,
             idle_since: now,
             idle_max: IDLE_MAX,
+            is_kept: true,
             history: ExchangeHistory::default(),
             meter,
             _task: ConnectionTask(task),
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -18,6 +18,7 @@
 use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict, has_status_line};
 use crate::policy::exchange_history::AnswerOrigin;
 use crate::policy::incarnation::BackendIncarnation;
+use crate::policy::surplus_doubt::SurplusDoubt;
 use crate::request::header::end_to_end;
 use crate::sidecar::process::body_budget::{BodyBudget, BodyError, UsualSize};
 use crate::sidecar::process::wire_dialect::HeaderNames;
@@ -82,6 +83,7 @@
     idle: Mutex<Vec<BackendConnection>>,
     /// Counts idle connections on which bytes arrived.
     idle_surplus: Counter,
+    doubt: Arc<Mutex<SurplusDoubt>>,
 }
 
 impl BackendPool {
@@ -92,7 +94,24 @@
         idle_surplus: Counter,
     ) -> Self {
         let usual_size = UsualSize::default();
-        BackendPool { clock, headers, bodies, usual_size, idle: Mutex::default(), idle_surplus }
+        BackendPool {
+            clock,
+            headers,
+            bodies,
+            usual_size,
+            idle: Mutex::default(),
+            idle_surplus,
+            doubt: Arc::default(),
+        }
+    }
+
+    /// Whether the server is expected to send answers too many.
+    fn is_doubtful(&self) -> bool {
+        self.doubt.lock().expect("lock not poisoned").is_raised(self.clock.now())
+    }
+
+    fn note_surplus(&self) {
+        self.doubt.lock().expect("lock not poisoned").note(self.clock.now());
     }
 
     /// Closes every idle connection.
@@ -146,7 +165,11 @@
         observer: &dyn ExchangeObserver,
     ) -> CallOutcome {
         loop {
-            let pooled = self.take_idle(target.address, &context.request_id, runs_once);
+            let is_alone = runs_once && self.is_doubtful();
+            let pooled = match is_alone {
+                true => None,
+                false => self.take_idle(target.address, &context.request_id, runs_once),
+            };
             let is_pooled = pooled.is_some();
             let connection = match pooled {
                 Some(connection) => connection,
@@ -165,16 +188,20 @@
             connection.meter.allow(HEAD_BYTES_MAX);
             observer.observe_send();
             connection.history.begin(&context.request_id);
+            connection.is_kept = !is_alone;
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
                     let origin = self.origin(&connection, context, answer.headers());
                     let head = Some((answer.status(), answer.headers(), origin));
                     observer.observe_answer(context, &seen_on(&connection, context, head));
-                    if origin.is_own() {
-                        observer.observe_head(target, answer.headers());
+                    match origin.is_own() {
+                        true => observer.observe_head(target, answer.headers()),
+                        false => self.note_surplus(),
                     }
+                    // No later answer without an id could be told from a copy of this one.
+                    connection.is_kept &= origin != AnswerOrigin::First;
                     let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
-                    return self.finish_exchange(connection, answer, origin, verdict).await;
+                    return self.finish_exchange(connection, answer, verdict).await;
                 }
                 Err(mut error) => match error.take_message() {
                     // The pooled connection was closed before anything was written.
@@ -196,12 +223,10 @@
         &self,
         mut connection: BackendConnection,
         answer: Response<hyper::body::Incoming>,
-        origin: AnswerOrigin,
         verdict: AnswerVerdict,
     ) -> CallOutcome {
         let keep_alive = keep_alive_timeout(answer.headers());
-        // No later answer without an id could be told from a copy of this one.
-        let closes = has_connection_close(answer.headers()) || origin == AnswerOrigin::First;
+        connection.is_kept &= !has_connection_close(answer.headers());
         if verdict == AnswerVerdict::Spoiled {
             return self.give_up(&connection, UnknownCause::Spoiled);
         }
@@ -209,7 +234,7 @@
             Ok(outcome) => {
                 // Bytes after the answer close the connection.
                 yield_now().await;
-                if !closes && !connection.sender.is_closed() {
+                if connection.is_kept && !connection.sender.is_closed() {
                     connection.idle_max = keep_alive.unwrap_or(IDLE_MAX).min(IDLE_MAX);
                     connection.idle_since = self.clock.now();
                     self.idle.lock().expect("lock not poisoned").push(connection);
@@ -338,9 +363,11 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> std::io::Result<BackendConnection> {
-        let surplus = self.idle_surplus.clone();
+        let (count, doubt) = (self.idle_surplus.clone(), self.doubt.clone());
+        let clock = self.clock.clone();
         let on_surplus = move || {
-            surplus.inc();
+            count.inc();
+            doubt.lock().expect("lock not poisoned").note(clock.now());
         };
         BackendConnection::open(address, self.clock.now(), on_surplus).await
     }
--- a/tests/suite/policy/exchanges.rs
+++ b/tests/suite/policy/exchanges.rs
@@ -1,8 +1,10 @@
 //! What a connection carried, and what its answers say about a run.
 
 use googletest::prelude::*;
+use lentilway::clock::MilliTime;
 use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict, has_status_line};
 use lentilway::policy::exchange_history::{AnswerOrigin, EXCHANGES_MAX, ExchangeHistory};
+use lentilway::policy::surplus_doubt::{DOUBT_SPAN, SurplusDoubt};
 
 fn history_of(ids: &[&str]) -> ExchangeHistory {
     let mut history = ExchangeHistory::default();
@@ -127,3 +129,13 @@
         expect_that!(has_status_line(value.as_bytes()), eq(false), "{value}");
     }
 }
+
+#[gtest]
+fn is_raised_until_span_ended() {
+    let mut doubt = SurplusDoubt::default();
+    let start = MilliTime(1_000);
+    expect_that!(doubt.is_raised(start), eq(false));
+    doubt.note(start);
+    expect_that!(doubt.is_raised(start + DOUBT_SPAN / 2), eq(true));
+    expect_that!(doubt.is_raised(start + DOUBT_SPAN), eq(false));
+}
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -15,3 +15,4 @@
 mod replica;
 mod restores;
 mod stops;
+mod surplus_answers;
--- a/tests/suite/sidecar/kept_connections.rs
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -25,7 +25,7 @@
     )
 }
 
-pub(super) async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+pub(super) async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> std::io::Result<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await?);
