Stand-in: upstreams refuse requests and send answers once more

`AnswerFaults` in the upstream's plan, off by default, draws from a seed which requests are refused (503, the mark that it did not run, the request's id; not recorded as a run), and which answers, refusals apart, are sent once more: up to 150 ms after the answer, within 15 ms of the next request on the connection, or up to 150 ms after the next answer; whole, in two pieces, with other answers between a part of its body and the rest, or broken off with the connection. Nothing is written inside another answer: no client could tell that from the answer itself.

Tests: `cargo nextest run -E 'test(/^upstream_answers::/)'`, 3 passed. `sidecar::crashes` gets the new field of the plan, off; its checks are unchanged, 4 passed.

--- a/lab/src/soak/node.rs
+++ b/lab/src/soak/node.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use lentilway_stand_ins::link::FaultyLink;
+use lentilway_stand_ins::platform::answer_faults::AnswerFaults;
 use lentilway_stand_ins::platform::store::StoreServer;
 use lentilway_stand_ins::platform::upstream::{UpstreamPlan, UpstreamServer};
 use lentilway_stand_ins::platform::{DaemonPlan, settings_file};
@@ -36,6 +37,8 @@
     /// Number of times the daemon was started.
     pub(crate) starts: u32,
     pub(crate) upstream: Option<UpstreamServer>,
+    /// The faults of the answers of its upstreams.
+    pub(crate) answer_faults: Arc<AnswerFaults>,
     upstream_listen: SocketAddr,
     upstream_starts: u32,
     calls: Vec<String>,
@@ -91,6 +94,7 @@
             process: None,
             starts: 0,
             upstream: None,
+            answer_faults: Arc::default(),
             upstream_listen,
             upstream_starts: 0,
             calls,
@@ -132,6 +136,7 @@
             announced: self.plan.upstream,
             outbound: self.plan.outbound,
             control: self.plan.control,
+            answer_faults: self.answer_faults.clone(),
         };
         let id = self.upstream_id();
         let server = UpstreamServer::start(self.upstream_listen, id, plan, history.clone()).await?;
--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use serde::Serialize;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
 /// A client with a pool of open connections.
@@ -77,18 +77,43 @@
 where
     H: Fn(ReceivedRequest) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = ServerReply> + Send + 'static,
+{
+    serve_streams(address, move |stream| {
+        let handler = handler.clone();
+        let service = service_fn(move |request| handle_request(handler.clone(), request));
+        async move {
+            let builder = Builder::new(TokioExecutor::new());
+            // A connection error affects only its client.
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        }
+    })
+    .await
+}
+
+/// Accepts connections at `address` and runs `serve_stream` for each, until the returned set is
+/// dropped.
+///
+/// # Errors
+/// The I/O error if `address` cannot be bound.
+pub(crate) async fn serve_streams<S, F>(
+    address: SocketAddr,
+    serve_stream: S,
+) -> std::io::Result<(SocketAddr, JoinSet<()>)>
+where
+    S: Fn(TcpStream) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let mut tasks = JoinSet::new();
-    tasks.spawn(accept_connections(listener, handler));
+    tasks.spawn(accept_connections(listener, serve_stream));
     Ok((address, tasks))
 }
 
-async fn accept_connections<H, F>(listener: TcpListener, handler: H)
+async fn accept_connections<S, F>(listener: TcpListener, serve_stream: S)
 where
-    H: Fn(ReceivedRequest) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = ServerReply> + Send + 'static,
+    S: Fn(TcpStream) -> F,
+    F: Future<Output = ()> + Send + 'static,
 {
     let mut connections = JoinSet::new();
     loop {
@@ -100,13 +125,7 @@
                 };
                 // An error is harmless: small answers then wait for acknowledgements.
                 let _ = stream.set_nodelay(true);
-                let handler = handler.clone();
-                let service = service_fn(move |request| handle_request(handler.clone(), request));
-                connections.spawn(async move {
-                    let builder = Builder::new(TokioExecutor::new());
-                    // A connection error affects only its client.
-                    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-                });
+                connections.spawn(serve_stream(stream));
             }
             Some(_) = connections.join_next() => {}
         }
--- a/stand-ins/src/platform/mod.rs
+++ b/stand-ins/src/platform/mod.rs
@@ -5,6 +5,8 @@
 
 use serde_json::{Value, json};
 
+pub mod answer_faults;
+mod connection;
 pub mod store;
 pub mod upstream;
 
@@ -14,6 +16,8 @@
 pub const DEADLINE_MILLIS: &str = "x-lentilway-deadline-ms";
 /// Header that proves that an upstream produced the answer.
 pub const SIGNATURE: &str = "x-lentilway-server-signature";
+/// Header that states that an upstream did not run the request.
+pub const NOT_EXECUTED: &str = "x-lentilway-not-executed";
 /// Header with the organisation of a request.
 pub const ORGANISATION: &str = "x-lentilway-tenant-id";
 /// Header with the id of the upstream that a request is sent to.
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -7,14 +7,20 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use super::{DEADLINE_MILLIS, HOST, LEAVING, LIMIT, ORGANISATION, REQUEST_ID, SIGNATURE, TARGET};
-use crate::http::{HttpClient, ReceivedRequest, ServerReply, exchange, http_client, serve};
+use super::answer_faults::AnswerFaults;
+use super::connection::serve_connection;
+use super::{
+    DEADLINE_MILLIS, HOST, LEAVING, LIMIT, NOT_EXECUTED, ORGANISATION, REQUEST_ID, SIGNATURE,
+    TARGET,
+};
+use crate::http::{HttpClient, ReceivedRequest, ServerReply, exchange, http_client, serve_streams};
 
 /// A request whose path contains this ends the upstream that runs it, unless its deadline comes first.
 pub const DEADLY_PATH: &str = "deadly";
@@ -39,6 +45,8 @@
     pub outbound: SocketAddr,
     /// The daemon's listener for announcements.
     pub control: SocketAddr,
+    /// What goes wrong with its answers; may be shared by upstreams that follow each other.
+    pub answer_faults: Arc<AnswerFaults>,
 }
 
 /// One run of a request at an upstream.
@@ -148,8 +156,12 @@
             started_ms: since_epoch.expect("the clock is past the Unix epoch").as_millis() as u64,
         });
         let shared = state.clone();
-        let (address, mut tasks) =
-            serve(address, move |request| run_request(shared.clone(), request)).await?;
+        let (address, mut tasks) = serve_streams(address, move |stream| {
+            let state = shared.clone();
+            let faults = state.plan.answer_faults.clone();
+            serve_connection(stream, faults, move |request| run_request(state.clone(), request))
+        })
+        .await?;
         tasks.spawn(send_heartbeats(state.clone()));
         let tasks = Arc::new(Mutex::new(tasks));
         let mut crash_watch = JoinSet::new();
@@ -276,6 +288,9 @@
             String::new(),
         ));
     }
+    if state.plan.answer_faults.draw_refusal() {
+        return ServerReply::Send(build_refusal(&id));
+    }
     state.observer.started(&UpstreamRun {
         path: request.path.clone(),
         request_id: id.clone(),
@@ -321,6 +336,13 @@
     answer
 }
 
+fn build_refusal(id: &str) -> Response<Full<Bytes>> {
+    let mut refusal =
+        build_response(StatusCode::SERVICE_UNAVAILABLE, id, "no free slot".to_owned());
+    refusal.headers_mut().insert(NOT_EXECUTED, HeaderValue::from_static("1"));
+    refusal
+}
+
 fn build_response(status: StatusCode, id: &str, body: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -25,3 +25,4 @@
 mod ticket_fleet;
 mod ticket_submission;
 mod tickets;
+mod upstream_answers;
--- a/tests/suite/sidecar/crashes.rs
+++ b/tests/suite/sidecar/crashes.rs
@@ -110,6 +110,7 @@
                 announced: address,
                 outbound: daemon.settings.request_listen,
                 control: daemon.settings.announce_listen,
+                answer_faults: Arc::default(),
             };
             servers.spawn(keep_serving(address, name, plan, history.clone()));
             daemons.push(daemon);
