Soak: refusals beside answers too many

In half of the seeds, twice for 1 to 3 s, all upstreams now refuse 0.3 to 0.9 of the requests and send 0.1 to 0.9 of their refusals and 0.01 to 0.1 of their other answers once more, also upstreams that start meanwhile, beside the restarts, resets and leaves of the seed. It is drawn from a seed of its own, so that the other faults of each seed stay as they were. It excuses no connection that closes.

Probes of readiness and faults of upstreams move to files of their own.

--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lentilway_stand_ins::platform::answer_faults::AnswerFaultPlan;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -10,6 +11,7 @@
 const STORE_RETURN_SEED: u64 = 0x5702_e2a1;
 const DEADLY_SEED: u64 = 0xdead_1e57;
 const LEAVE_SEED: u64 = 0x1ea7_e5e5;
+const ANSWER_SEED: u64 = 0x0503_c0b1;
 
 /// A fault of one node or of a shared component; the `usize` is the node's index.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,6 +52,8 @@
         /// Whether it may run twice.
         is_safe: bool,
     },
+    /// All upstreams refuse a share of the requests and send answers once more.
+    CopyAnswers(AnswerFaultPlan),
     /// A key of an organisation is withdrawn.
     WithdrawKey,
     /// A route is added.
@@ -93,7 +97,8 @@
 impl SoakFault {
     /// Whether connections of callers may close because of it.
     pub(crate) fn may_cut_connections(self) -> bool {
-        !self.is_planned_operation() && !matches!(self, SoakFault::SendDeadly { .. })
+        use SoakFault::{CopyAnswers, SendDeadly};
+        !self.is_planned_operation() && !matches!(self, SendDeadly { .. } | CopyAnswers(_))
     }
 
     /// Whether this is a planned operation, during which no request may be lost.
@@ -139,6 +144,7 @@
     plan.extend(draw_store_returns(seed, length, planned_only));
     plan.extend(draw_deadly_requests(seed, length));
     plan.extend(draw_leaves(seed, nodes, length, planned_only));
+    plan.extend(draw_answer_faults(seed, length));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -185,6 +191,26 @@
     (0..2).map(|_| draw()).collect()
 }
 
+/// Refusals with copies of answers, twice in half of the runs, those with planned operations only
+/// among them. They are drawn apart as well.
+fn draw_answer_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ ANSWER_SEED);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let mut draw = |part: f64| PlannedFault {
+        at: length.mul_f64(part + random.random_range(0.0..0.2)),
+        duration: Duration::from_millis(random.random_range(1_000..3_000)),
+        fault: SoakFault::CopyAnswers(AnswerFaultPlan {
+            seed: random.random(),
+            refused: random.random_range(0.3..0.9),
+            refusals_copied: random.random_range(0.1..0.9),
+            others_copied: random.random_range(0.01..0.1),
+        }),
+    };
+    vec![draw(0.0), draw(0.5)]
+}
+
 fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
     let node = random.random_range(0..nodes);
     match random.random_range(0..17) {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -7,10 +7,9 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use lentilway_stand_ins::http::{HttpClient, exchange, http_client};
 use lentilway_stand_ins::link::LinkMode;
 use lentilway_stand_ins::platform::store::{StoreMode, StoreServer};
-use lentilway_stand_ins::platform::{READY_PATH, RoutePlan, TenantPlan, config_record};
+use lentilway_stand_ins::platform::{RoutePlan, TenantPlan, config_record};
 use rustix::process::Signal;
 use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
@@ -21,20 +20,20 @@
 mod fault;
 pub mod history;
 mod node;
+mod readiness;
+mod upstreams;
 
 use callers::{CallerGroup, CallerOrganisation, CallerRoute, run_caller};
 use deadly::return_upstreams;
 use fault::{LinkFault, NodeLink, PlannedFault, SoakFault, StoreFault, draw_plan};
-use history::{DRAIN_TIMEOUT, LIMIT_STABLE_TIME, LIMIT_WINDOW, SoakHistory};
+use history::{DRAIN_TIMEOUT, SoakHistory};
 use node::SoakNode;
 pub use node::SoakPaths;
+use readiness::watch_ready;
 
 /// Services of the nodes; each run of the first calls the second.
 const SERVICES: [&str; 2] = ["shop", "stock"];
 const CALLERS_PER_NODE: u64 = 2;
-/// The platform stops routing to a daemon after two failed probes, a second apart.
-const READY_INTERVAL: Duration = Duration::from_millis(500);
-const READY_TIMEOUT: Duration = Duration::from_millis(400);
 /// The platform kills a process that has not ended after this time.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
@@ -60,8 +59,6 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which an upstream serves after a heartbeat that arrives late.
 const LEFT_SERVING_TIME: Duration = Duration::from_millis(1_500);
-/// Limits stated by upstreams reach from 0 to about the usual load.
-const LIMIT_PER_SECOND_OF_FAULT: f64 = 8.0;
 
 const UNLIMITED: CallerOrganisation =
     CallerOrganisation { name: "nord", keys: ["nord-1", "nord-2"] };
@@ -352,6 +349,7 @@
             }
             SoakFault::RestoreStore => self.restore_store(planned.duration).await,
             SoakFault::SendDeadly { is_safe } => self.send_deadly(is_safe, planned.duration).await,
+            SoakFault::CopyAnswers(plan) => self.copy_answers(plan, planned.duration).await,
             SoakFault::WithdrawKey => self.withdraw_key().await,
             SoakFault::AddRoute => self.add_route().await,
         }
@@ -426,31 +424,6 @@
         self.starts[daemon].load(Ordering::SeqCst)
     }
 
-    async fn replace_upstream(&self, number: usize, pause: Duration) {
-        self.nodes[number].lock().await.upstream = None;
-        sleep(pause).await;
-        let mut node = self.nodes[number].lock().await;
-        // Connections of the old upstream may still hold its port.
-        while node.start_upstream(&self.history).await.is_err() {
-            sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    /// Has the upstream state a limit for `duration` beyond the time from which it binds; a longer
-    /// one states a higher limit.
-    async fn limit_upstream(&self, number: usize, duration: Duration) {
-        let limit = (duration.as_secs_f64() * LIMIT_PER_SECOND_OF_FAULT).round();
-        self.set_limit(number, Some(limit)).await;
-        sleep(LIMIT_STABLE_TIME + LIMIT_WINDOW + duration).await;
-        self.set_limit(number, None).await;
-    }
-
-    async fn set_limit(&self, number: usize, limit: Option<f64>) {
-        if let Some(upstream) = &self.nodes[number].lock().await.upstream {
-            upstream.set_limit(limit);
-        }
-    }
-
     async fn fail_link(&self, number: usize, link: NodeLink, fault: LinkFault, duration: Duration) {
         let mode = match fault {
             LinkFault::Delay => LinkMode::Delay(LINK_DELAY),
@@ -497,26 +470,3 @@
         StoreFault::LosesAnswers => StoreMode::LosesAnswers(LOST_ANSWER_FRACTION),
     }
 }
-
-/// Probes readiness as the platform does.
-async fn watch_ready(
-    address: std::net::SocketAddr,
-    ready: watch::Sender<bool>,
-    end: watch::Receiver<bool>,
-) {
-    let client = http_client();
-    let mut misses = 0;
-    while !*end.borrow() {
-        let is_ready = timeout(READY_TIMEOUT, check_ready(&client, address)).await.unwrap_or(false);
-        misses = if is_ready { 0 } else { misses + 1 };
-        ready.send_replace(misses < 2 && (is_ready || *ready.borrow()));
-        sleep(READY_INTERVAL).await;
-    }
-}
-
-async fn check_ready(client: &HttpClient, address: std::net::SocketAddr) -> bool {
-    let uri = format!("http://{address}{READY_PATH}");
-    let request = hyper::Request::get(uri).body(Default::default());
-    let answer = exchange(client, request.expect("the address is a valid URI")).await;
-    answer.is_ok_and(|(status, ..)| status.is_success())
-}
