Retire a connection on which an answer to another attempt came

A backend server that sent one answer too many, where the next one was due, made later requests fail with 3001 (502), one after the other: the daemon with result codes knew the copy by its attempt and dropped it, and the connection went back to the pool one answer behind its requests. Each later request on it got the answer of the one before it. The answer to a cancellation was not looked at, so that a copy in its place had the same effect.

No caller got another's answer, and none was told "not run" by a copy: each send has an attempt id of its own. Copies that come with the answer or on the idle connection are seen by hyper, which closes it; one cut in its body is closed when the body is dropped.

A connection whose answer echoes another attempt is now poisoned, so that the pool drops it, and so is one that carried a cancellation, whose answer names no attempt. True refusals cost no connection.

The tests failed before: of 30 requests in turn, one answer copied late and whole, 24 failed, both for a success and for a refusal; after a cancellation whose answer's place the copy took, 30 of 30. Now 1, 1 and 0 (the request in whose place the copy came).

cargo nextest run --no-capture -E 'test(/^answer_copies::/)'

Two tests of two passed in six of six runs.

--- a/src/connection/backend_link.rs
+++ b/src/connection/backend_link.rs
@@ -10,7 +10,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -86,11 +86,24 @@
         if !self.armed {
             return;
         }
-        let Ok(request) = Request::delete(&self.url).body(Full::default()) else {
+        let Ok(mut request) = Request::delete(&self.url).body(Full::default()) else {
             return;
         };
+        let connection = capture_connection(&mut request);
         let cancel = self.client.request(request);
-        tokio::spawn(async move { tokio::time::timeout(CANCEL_TIMEOUT, cancel).await });
+        tokio::spawn(async move {
+            // A cancellation that is lost wastes work only.
+            let _ = tokio::time::timeout(CANCEL_TIMEOUT, cancel).await;
+            // The answer names no attempt, so an earlier one may have taken its place.
+            retire(&connection);
+        });
+    }
+}
+
+/// Prevents further requests on a connection that may be one answer behind its requests.
+fn retire(connection: &CaptureConnection) {
+    if let Some(connection) = connection.connection_metadata().as_ref() {
+        connection.poison();
     }
 }
 
@@ -109,13 +122,19 @@
 ) -> Result<BufferedAnswer, ResultCode> {
     let attempt = format!("{:032x}", rand::rng().random::<u128>());
     let remaining = deadline.until(shared.clock.now());
-    let outgoing = outgoing_request(server, handle, remaining, &attempt, request)?;
+    let mut outgoing = outgoing_request(server, handle, remaining, &attempt, request)?;
+    let connection = capture_connection(&mut outgoing);
     let client = shared.backend.client.clone();
     let url = format!("http://{}/lentilway/attempts/{attempt}", server.address);
     let mut cancel = CancelGuard { client: client.clone(), url, armed: true };
     let exchange = async {
         let answer = client.request(outgoing).await.map_err(send_error_code)?;
-        read_answer(shared, answer, &attempt).await
+        if !echoes(&answer, &attempt) {
+            retire(&connection);
+            shared.metrics.count("answer_crossed");
+            return Err(ResultCode::AnswerMissing);
+        }
+        read_answer(shared, answer).await
     };
     let result = tokio::time::timeout(remaining, exchange).await;
     let result = result.unwrap_or(Err(ResultCode::AnswerLate));
@@ -155,17 +174,15 @@
     }
 }
 
+fn echoes(answer: &Response<Incoming>, attempt: &str) -> bool {
+    answer.headers().get(ATTEMPT).is_some_and(|value| value == attempt)
+}
+
 async fn read_answer(
     shared: &DaemonShared,
     answer: Response<Incoming>,
-    attempt: &str,
 ) -> Result<BufferedAnswer, ResultCode> {
     let (parts, body) = answer.into_parts();
-    let echoed = parts.headers.get(ATTEMPT).is_some_and(|value| value == attempt);
-    if !echoed {
-        shared.metrics.count("answer_crossed");
-        return Err(ResultCode::AnswerMissing);
-    }
     if parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parse_number::<bool>(&parts.headers, &NOT_RUN) == Some(true)
     {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon, grouped by topic.
 
+mod answer_copies;
 mod answers;
 mod claim_shards;
 mod claims;
