--- a/tests/suite/platform.rs
+++ b/tests/suite/platform.rs
@@ -3,3 +3,4 @@
 mod boundary;
 mod records;
 mod store;
+mod store_copies;
