--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod metered_stream;
 pub(crate) mod peer_link;
 pub(crate) mod peer_server;
+pub(crate) mod single_call;
