Call the platform's log on a connection of its own each time

If the log sent an answer twice, the daemon with result codes took the copy for the answer to its next request on that kept connection. The copy of another stream's append counted as done, so that a claim that the log had refused was won, although it was not on the stream: another daemon may win the same key, and a request that must run once runs twice. Reads got the page of an earlier read.

Cause: as with the platform's store, answers name neither their request nor their stream. The worker of a shard compares the offset with the one that it expects, which a copy from another shard passes by chance.

Ruled out: reading each append back, which costs a second call for each batch. The platform's page lists no such copies for its log; none was seen.

Each request now has its own connection.

--- a/src/process/http_log.rs
+++ b/src/process/http_log.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 
 use super::platform_log::{LogError, LogPage, LogRecord, PlatformLog, StreamName};
@@ -19,7 +19,6 @@
 /// Added to a read's wait time.
 const READ_MARGIN: Duration = Duration::from_secs(2);
 const PAGE_BYTES_LIMIT: usize = 64 * 1024 * 1024;
-const IDLE_CONNECTIONS: usize = 8;
 
 /// A client of the log's HTTP interface; `docs/PROTOCOL.md` describes it.
 #[derive(Clone, Debug)]
@@ -53,11 +52,8 @@
 impl HttpLog {
     /// A client of the log at `base_url`, such as `http://127.0.0.1:7000`.
     pub fn new(base_url: &str) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .retry_canceled_requests(false)
-            .build_http();
+        // Answers name no request: only on a connection of its own is the answer known to be its own.
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
         HttpLog { base_url: base_url.trim_end_matches('/').to_string(), client }
     }
 
--- a/tests/suite/claim_shards.rs
+++ b/tests/suite/claim_shards.rs
@@ -23,6 +23,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
+use crate::copying_server::{CopyForm, CopyPlan, CopyingServer, answer};
+
 const STREAM: &str = "claims-0";
 const KEY: KeyHash = KeyHash(0, 7);
 const MINUTE: Duration = Duration::from_secs(60);
@@ -63,10 +65,14 @@
 
 /// The registry of a daemon without members, so that it owns every shard.
 fn registry(log: &LogServer, boot: u64) -> Arc<ClaimRegistry> {
+    registry_at(&log.url(), boot)
+}
+
+fn registry_at(log_url: &str, boot: u64) -> Arc<ClaimRegistry> {
     let secret = SecretText::new("a-secret-of-the-tests-0123456789");
     let transport = PeerTransport::new(&[secret]).expect("the secret is valid");
     ClaimRegistry::new(ClaimDependencies {
-        log: Arc::new(HttpLog::new(&log.url())),
+        log: Arc::new(HttpLog::new(log_url)),
         members: Arc::new(MemberTable::default()),
         links: ControlLinks::new(transport, instance(boot)),
         instance: instance(boot),
@@ -378,3 +384,27 @@
     let unlisted = batch(0, MilliTime(5), &[unlisted], &[]).encode();
     expect_that!(ClaimBatch::decode(&unlisted), err(contains_substring("claimant")));
 }
+
+/// A claim that the log refused must not be won by the copy of the answer to another append: the
+/// request would run twice.
+#[googletest::test]
+#[tokio::test]
+async fn decide_refused_after_copied_append() {
+    let other_key = KeyHash(1, 7);
+    assert_that!(other_key.shard(), not(eq(KEY.shard())));
+    let page = answer("200 OK", br#"{"records":[],"tail":0}"#);
+    let appended = answer("200 OK", br#"{"offset":0}"#);
+    let refused = answer("503 Service Unavailable", b"{}");
+    for form in [CopyForm::Whole, CopyForm::InPieces] {
+        // Each refused append is followed by a read.
+        let refusals = [page.clone(), refused.clone()].into_iter().cycle().take(16);
+        let answers = [page.clone(), appended.clone()].into_iter().chain(refusals);
+        let plan = CopyPlan { form, copied: 1, due: 3 };
+        let log = CopyingServer::start(plan, answers).await;
+        let deciding = registry_at(&format!("http://{log}"), 1);
+        let now = wall_time();
+        assert_that!(decide(&deciding, request(1, now)).await, eq(ClaimVerdict::Won));
+        let claim = ClaimRequest { key: other_key, ..request(2, now) };
+        expect_that!(decide(&deciding, claim).await, eq(ClaimVerdict::Unavailable), "{form:?}");
+    }
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod claim_shards;
 mod claims;
 mod codes;
+mod copying_server;
 mod draining;
 mod identity;
 mod members;
--- a/tests/suite/platform/store_copies.rs
+++ b/tests/suite/platform/store_copies.rs
@@ -9,77 +9,17 @@
 use lentilway::policy::store_position::StorePosition;
 use lentilway::sidecar::process::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::net::TcpListener;
+
+use crate::copying_server::{CopyForm, CopyPlan, CopyingServer, answer};
 
 const NO_WAIT: Duration = Duration::ZERO;
-/// The time between a copy, or a part of it, and what follows on the connection.
-const PAUSE: Duration = Duration::from_millis(20);
 const READS: usize = 10;
 const CONFIGURATION: StoreTopic = StoreTopic::Configuration;
 const DIRECTORY: StoreTopic = StoreTopic::Directory;
 
-#[derive(Clone, Copy, Debug)]
-enum CopyForm {
-    Whole,
-    /// Cut in the body.
-    InPieces,
-}
-
-/// A store that answers the calls in turn, and sends each connection's first answer once more where
-/// the next one is due.
-struct CopyingStore {
-    form: CopyForm,
-    answers: Mutex<Vec<Vec<u8>>>,
-}
-
-impl CopyingStore {
-    async fn start(form: CopyForm, answers: impl IntoIterator<Item = Vec<u8>>) -> PlatformStore {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-        let client = PlatformStore::new(listener.local_addr().unwrap());
-        let mut answers: Vec<_> = answers.into_iter().collect();
-        answers.reverse();
-        let store = Arc::new(CopyingStore { form, answers: Mutex::new(answers) });
-        tokio::spawn(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(store.clone().serve(stream));
-            }
-        });
-        client
-    }
-
-    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
-        stream.set_nodelay(true).unwrap();
-        let mut copy = None;
-        let mut buffer = [0; 4_096];
-        while let Ok(1..) = stream.read(&mut buffer).await {
-            let Some(answer) = self.answers.lock().unwrap().pop() else { return };
-            match copy.take() {
-                Some(copy) => self.send_copy(&mut stream, copy).await,
-                None => copy = Some(answer.clone()),
-            }
-            // An error is seen by the next read.
-            let _ = stream.write_all(&answer).await;
-        }
-    }
-
-    async fn send_copy(&self, stream: &mut TcpStream, copy: Vec<u8>) {
-        let cut = match self.form {
-            CopyForm::Whole => copy.len(),
-            CopyForm::InPieces => copy.len() - 1,
-        };
-        let (first, rest) = copy.split_at(cut);
-        let _ = stream.write_all(first).await;
-        sleep(PAUSE).await;
-        let _ = stream.write_all(rest).await;
-        sleep(PAUSE).await;
-    }
-}
-
-fn answer(status: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
-    [head.as_bytes(), body].concat()
+async fn start(form: CopyForm, answers: impl IntoIterator<Item = Vec<u8>>) -> PlatformStore {
+    PlatformStore::new(CopyingServer::start(CopyPlan::first(form), answers).await)
 }
 
 /// The answer to a read from the beginning of a topic.
@@ -104,7 +44,7 @@
     for form in [CopyForm::Whole, CopyForm::InPieces] {
         let acknowledged = answer("200 OK", br#"{"offset":0,"end_offset":1}"#);
         let refused = answer("503 Service Unavailable", b"{}");
-        let store = CopyingStore::start(form, [acknowledged, refused]).await;
+        let store = start(form, [acknowledged, refused]).await;
         expect_that!(store.put(DIRECTORY, "one", Some(b"1")).await, ok(anything()), "{form:?}");
         let second = store.put(DIRECTORY, "one", Some(b"2")).await;
         expect_that!(second, err(eq(&StoreError::Refused { status: 503 })), "{form:?}");
@@ -120,7 +60,7 @@
             (0..READS).map(|index| format!("\x01a{index}").into()).collect();
         let written: Vec<&[u8]> = written.iter().map(Vec::as_slice).collect();
         let answers = (0..READS).map(|count| records(&written[..count]));
-        let store = CopyingStore::start(form, answers).await;
+        let store = start(form, answers).await;
         let mut outdated = 0;
         for count in 0..READS {
             let read = store.changes(CONFIGURATION, StorePosition::default(), NO_WAIT).await;
@@ -139,7 +79,7 @@
 async fn changes_after_copied_read_of_other_topic() {
     for form in [CopyForm::Whole, CopyForm::InPieces] {
         let answers = [records(&[b"\x06config1"]), records(&[b"\x03one1"])];
-        let store = CopyingStore::start(form, answers).await;
+        let store = start(form, answers).await;
         let read = store.changes(CONFIGURATION, StorePosition::default(), NO_WAIT).await;
         expect_that!(keys(&read.unwrap_or_default()), elements_are![eq(&"config")], "{form:?}");
         let read = store.changes(DIRECTORY, StorePosition::default(), NO_WAIT).await;
@@ -156,7 +96,7 @@
             answer("200 OK", body.as_bytes())
         };
         let item = r#"{"key":"one","value":"MQ==","offset":0}"#;
-        let store = CopyingStore::start(form, [page("", 0), page(item, 1)]).await;
+        let store = start(form, [page("", 0), page(item, 1)]).await;
         expect_that!(store.snapshot(CONFIGURATION).await, ok(anything()), "{form:?}");
         let read = store.snapshot(DIRECTORY).await;
         expect_that!(keys(&read.unwrap_or_default()), elements_are![eq(&"one")], "{form:?}");
--- a/tests/suite/platform_log.rs
+++ b/tests/suite/platform_log.rs
@@ -9,6 +9,8 @@
 use lentilway_lab::fleet::ANY_PORT;
 use lentilway_stand_ins::log::{LogFaults, LogServer};
 
+use crate::copying_server::{CopyForm, CopyPlan, CopyingServer, answer};
+
 const LONG_WAIT: Duration = Duration::from_secs(20);
 
 async fn start() -> (LogServer, HttpLog, StreamName) {
@@ -107,3 +109,41 @@
     let page = read(&log, &stream, 0).await;
     assert_that!(page, err(matches_pattern!(LogError::Unavailable { .. })));
 }
+
+async fn start_copying(form: CopyForm, answers: impl IntoIterator<Item = Vec<u8>>) -> HttpLog {
+    HttpLog::new(&format!("http://{}", CopyingServer::start(CopyPlan::first(form), answers).await))
+}
+
+/// An append that the log refused must not count as done: it may be that of a claim.
+#[googletest::test]
+#[tokio::test]
+async fn append_refused_after_copied_append() {
+    for form in [CopyForm::Whole, CopyForm::InPieces] {
+        let appended = answer("200 OK", br#"{"offset":0}"#);
+        let refused = answer("503 Service Unavailable", b"{}");
+        let log = start_copying(form, [appended, refused]).await;
+        let (one, two) = (StreamName::new("one"), StreamName::new("two"));
+        expect_that!(log.append(&one, Bytes::new()).await, ok(eq(&0)), "{form:?}");
+        let second = log.append(&two, Bytes::new()).await;
+        expect_that!(second, err(matches_pattern!(LogError::Unavailable { .. })), "{form:?}");
+    }
+}
+
+/// A copy of an earlier page hides records, such as a ticket or a claim.
+#[googletest::test]
+#[tokio::test]
+async fn read_after_copied_read() {
+    const READS: u64 = 10;
+    for form in [CopyForm::Whole, CopyForm::InPieces] {
+        let page = |tail| format!(r#"{{"records":[],"tail":{tail}}}"#);
+        let answers = (0..READS).map(|tail| answer("200 OK", page(tail).as_bytes()));
+        let log = start_copying(form, answers).await;
+        let mut outdated = 0;
+        for tail in 0..READS {
+            let page = read(&log, &StreamName::new("one"), 0).await;
+            outdated += usize::from(page.map(|page| page.tail) != Ok(tail));
+        }
+        println!("{form:?}: {outdated} of {READS} reads outdated or failed");
+        expect_that!(outdated, eq(0), "{form:?}");
+    }
+}
