Test that replies to earlier calls on a control link are ignored

"Not run" also comes from other daemons, as the outcome of an attempt or the verdict on a claim. Their replies bear the number of the call on its link, a new link begins anew on a TLS connection of its own, and a number is used once on a link. A peer that sends every earlier reply again with each reply, one to no call, one to a call that was given up, and closes the link in between gets none of them believed.

cargo nextest run -E 'test(/^link_replies::/)'

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod copying_server;
 mod draining;
 mod identity;
+mod link_replies;
 mod members;
 mod overload;
 mod peers;
