Property test: orders of exchanges with copies of answers

Drawn are requests with own and repeated ids, through the daemon beside the server and over a link, callers that give up, and for each arrival a refusal with and without mark and id, a success at once, late or in parts, a failure, a hang or a close, with copies of earlier answers before, in and after it: whole, in parts and broken off after any byte. Held: an unsafe request runs at most once, its caller is not told 408, 421, 429 or 503 if it ran (seen until 150 ms after the end), and no caller gets the body or the failure of another request. A safe request's own failure may bear these statuses: it is passed on as the server signed it.

Smallest orders: 1. a refusal of /write/0 (503 with mark and id), at its second arrival on the same connection a whole copy of the refusal, then its success: 503, ran; 2. two requests with one id, before the answer to the second a copy of the first: the first's body; 3. an unmarked 503 after a run: 503.

--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -3,6 +3,7 @@
 mod copied_refusals;
 mod crashes;
 mod endless;
+mod exchange_orders;
 mod fleet;
 pub(crate) mod floods;
 mod kept_connections;
@@ -12,6 +13,7 @@
 mod links;
 mod odd_entries;
 mod outcomes;
+mod planned_server;
 mod replica;
 mod restores;
 mod stops;
--- a/tests/suite/sidecar/kept_connections.rs
+++ b/tests/suite/sidecar/kept_connections.rs
@@ -12,7 +12,7 @@
 
 use super::fleet::{KEY, TestFleet, own_loopback};
 
-const SIGNATURE: &str = "x-lentilway-server-signature: signed\r\n";
+pub(super) const SIGNATURE: &str = "x-lentilway-server-signature: signed\r\n";
 pub(super) const REFUSAL: &str =
     "HTTP/1.1 503 Service Unavailable\r\nx-lentilway-not-executed: 1\r\n";
 const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\n";
