A head made of two is told by the first answer on its connection

Cause: the parser replaces a reason phrase that is not ASCII by an empty one, so that the status line in it is not found; and a quoted status line was taken for a sign of a merged head by itself.

Change: policy::head_style compares a head with the first one on its connection, which continues no other answer: a status line in a value, or no reason phrase, is a sign only if the first had none of it. Ruled out: spoiling every head without a reason phrase, which whole servers send. Remains: a server that shows these features in some answers only loses requests (502) that way, never a promise.

--- a/src/policy/answer_verdict.rs
+++ b/src/policy/answer_verdict.rs
@@ -26,7 +26,7 @@
     pub is_signed: bool,
     /// Whether its body is encoded, which is not the server's.
     pub is_encoded: bool,
-    /// Whether it begins with a part of another answer, see [`has_status_line`].
+    /// Whether its head may be made of two, see [`HeadStyle`](super::head_style::HeadStyle).
     pub is_merged: bool,
     /// Whether the request must not run twice.
     pub runs_once: bool,
@@ -82,24 +82,3 @@
         }
     }
 }
-
-/// Whether a part of a head contains the begin of another answer. Where an answer is cut in a value,
-/// the head of the next one on the connection continues that value.
-///
-/// ```
-/// use lentilway::policy::answer_verdict::has_status_line;
-/// assert!(has_status_line(b"1HTTP/1.1 200 OK"));
-/// assert!(!has_status_line(b"HTTP/1.1 proxy.example"));
-/// ```
-pub fn has_status_line(value: &[u8]) -> bool {
-    const VERSION: &[u8] = b"HTTP/1.";
-    // The version's last digit, a blank and the status.
-    const REST: usize = 5;
-    value.windows(VERSION.len() + REST).any(|line| {
-        let (version, rest) = line.split_at(VERSION.len());
-        version == VERSION
-            && rest[0].is_ascii_digit()
-            && rest[1] == b' '
-            && rest[2..].iter().all(u8::is_ascii_digit)
-    })
-}
--- a/src/sidecar/connection/backend_connection.rs
+++ b/src/sidecar/connection/backend_connection.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::MilliTime;
 use crate::policy::exchange_history::ExchangeHistory;
+use crate::policy::head_style::HeadStyle;
 use crate::sidecar::connection::metered_stream::{MeteredStream, ReadMeter};
 
 /// A backend server on the same machine accepts a connection within this time or not at all.
@@ -49,6 +50,8 @@
     /// Whether it may be used again after the exchange under way.
     pub(super) is_kept: bool,
     pub(super) history: ExchangeHistory,
+    /// The style of its first answer.
+    pub(super) style: Option<HeadStyle>,
     pub(super) meter: Arc<ReadMeter>,
     _task: ConnectionTask,
 }
@@ -81,6 +84,7 @@
             idle_max: IDLE_MAX,
             is_kept: true,
             history: ExchangeHistory::default(),
+            style: None,
             meter,
             _task: ConnectionTask(task),
         })
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -15,8 +15,9 @@
 use super::backend_connection::{BackendConnection, IDLE_MAX};
 use super::metered_stream::ReadMeter;
 use crate::clock::MilliClock;
-use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict, has_status_line};
+use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
 use crate::policy::exchange_history::AnswerOrigin;
+use crate::policy::head_style::HeadStyle;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::policy::surplus_doubt::SurplusDoubt;
 use crate::request::header::end_to_end;
@@ -200,7 +201,10 @@
                     }
                     // No later answer without an id could be told from a copy of this one.
                     connection.is_kept &= origin != AnswerOrigin::First;
-                    let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
+                    let style = head_style(&answer);
+                    let is_merged = style.is_merged(*connection.style.get_or_insert(style));
+                    let verdict =
+                        self.answer_traits(&answer, origin, is_merged, runs_once).verdict();
                     return self.finish_exchange(connection, answer, verdict).await;
                 }
                 Err(mut error) => match error.take_message() {
@@ -302,6 +306,7 @@
         &self,
         answer: &Response<hyper::body::Incoming>,
         origin: AnswerOrigin,
+        is_merged: bool,
         runs_once: bool,
     ) -> AnswerTraits {
         let headers = answer.headers();
@@ -311,7 +316,7 @@
             is_marked: headers.contains_key(&self.headers.not_run),
             is_signed: headers.contains_key(&self.headers.signature),
             is_encoded: headers.contains_key(CONTENT_ENCODING),
-            is_merged: is_merged(answer),
+            is_merged,
             runs_once,
         }
     }
@@ -386,10 +391,11 @@
     }
 }
 
-fn is_merged(answer: &Response<hyper::body::Incoming>) -> bool {
-    let reason = answer.extensions().get::<ReasonPhrase>();
-    reason.is_some_and(|reason| has_status_line(reason.as_bytes()))
-        || answer.headers().values().any(|value| has_status_line(value.as_bytes()))
+fn head_style(answer: &Response<hyper::body::Incoming>) -> HeadStyle {
+    let usual_reason = answer.status().canonical_reason().unwrap_or_default().as_bytes();
+    let reason = answer.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+    let values = answer.headers().values().map(HeaderValue::as_bytes);
+    HeadStyle::of(reason.unwrap_or(usual_reason), values)
 }
 
 fn text_value(text: &str) -> Option<HeaderValue> {
--- a/tests/suite/policy/exchanges.rs
+++ b/tests/suite/policy/exchanges.rs
@@ -2,8 +2,9 @@
 
 use googletest::prelude::*;
 use lentilway::clock::MilliTime;
-use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict, has_status_line};
+use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
 use lentilway::policy::exchange_history::{AnswerOrigin, EXCHANGES_MAX, ExchangeHistory};
+use lentilway::policy::head_style::{HeadStyle, has_status_line};
 use lentilway::policy::surplus_doubt::{DOUBT_SPAN, SurplusDoubt};
 
 fn history_of(ids: &[&str]) -> ExchangeHistory {
@@ -139,3 +140,15 @@
     expect_that!(doubt.is_raised(start + DOUBT_SPAN / 2), eq(true));
     expect_that!(doubt.is_raised(start + DOUBT_SPAN), eq(false));
 }
+
+#[gtest]
+fn is_merged_unlike_first() {
+    let usual = HeadStyle::of(b"OK", []);
+    let quoting = HeadStyle::of(b"OK", [&b"HTTP/1.1 200 OK"[..]]);
+    let bare = HeadStyle::of(b"", []);
+    expect_that!(quoting.is_merged(usual), eq(true));
+    expect_that!(bare.is_merged(usual), eq(true));
+    for (style, first) in [(usual, usual), (usual, quoting), (quoting, quoting), (bare, bare)] {
+        expect_that!(style.is_merged(first), eq(false), "{style:?} after {first:?}");
+    }
+}
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -11,6 +11,7 @@
 mod leaves;
 mod limits;
 mod links;
+mod merged_answers;
 mod odd_entries;
 mod outcomes;
 mod planned_server;
--- /dev/null
+++ b/tests/suite/sidecar/merged_answers.rs
@@ -0,0 +1,89 @@
+//! Backend servers whose answer continues a cut part of another one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use googletest::prelude::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::fleet::{KEY, TestFleet};
+use super::kept_connections::{listen, read_head, request_id, whole_answer};
+
+/// Writes `surplus` before the answers to requests for a cut copy, which run.
+async fn serve_after(
+    mut stream: TcpStream,
+    surplus: &'static str,
+    runs: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    loop {
+        let head = read_head(&mut stream).await?;
+        if head.contains("/write/cut") {
+            runs.fetch_add(1, Ordering::SeqCst);
+            stream.write_all(surplus.as_bytes()).await?;
+        }
+        stream.write_all(whole_answer(request_id(&head)).as_bytes()).await?;
+    }
+}
+
+async fn start_after(surplus: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let (listener, address) = listen().await;
+    let runs = Arc::new(AtomicUsize::new(0));
+    let run_count = runs.clone();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            // An error means that the daemon has closed the connection.
+            tokio::spawn(serve_after(stream, surplus, run_count.clone()));
+        }
+    });
+    (address, runs)
+}
+
+/// The parser drops a reason phrase that is not ASCII, and the status line in it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_after_cut_reason_not_ascii() {
+    for (surplus, allowed) in [
+        ("HTTP/1.1 421 Mal adressé", [200, 502]),
+        ("HTTP/1.1 404 Pas trouvé", [200, 502]),
+        ("HTTP/1.1 500 Problème", [200, 502]),
+    ] {
+        let (address, runs) = start_after(surplus).await;
+        let fleet = TestFleet::new();
+        let daemon = fleet.start_beside("one", "stock", address).await;
+        fleet.until(&daemon, "/read/1", KEY, 200).await;
+        let answer = fleet.send(&daemon, "/write/cut", KEY).await;
+        expect_that!(allowed.contains(&answer.status), eq(true), "{surplus}: {}", answer.status);
+        expect_that!(runs.load(Ordering::SeqCst), eq(1), "{surplus}");
+    }
+}
+
+/// A header that quotes a status line does not make the only answer on a connection a merged one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_quoting_status_line_delivered() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let head = read_head(&mut stream).await?;
+                let quote = match head.contains("/write/") {
+                    true => "\r\nx-origin-status: HTTP/1.1 200 OK\r\nconnection: close\r\n",
+                    false => "\r\nconnection: close\r\n",
+                };
+                let answer = whole_answer(request_id(&head)).replacen("\r\n", quote, 1);
+                stream.write_all(answer.as_bytes()).await?;
+                stream.shutdown().await
+            });
+        }
+    });
+    let fleet = TestFleet::new();
+    let daemon = fleet.start_beside("one", "stock", address).await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    for number in 0..3 {
+        expect_that!(fleet.send(&daemon, "/write/1", KEY).await.status, eq(200), "{number}");
+    }
+}
