A resend takes the place of the connection that it cannot use again

Change: if only connections that carried the request are idle, one of them is closed first, and the new one is opened 5 ms later, when the server has noticed.

--- a/src/sidecar/connection/backend_connection.rs
+++ b/src/sidecar/connection/backend_connection.rs
@@ -53,7 +53,7 @@
     /// The style of its first answer.
     pub(super) style: Option<HeadStyle>,
     pub(super) meter: Arc<ReadMeter>,
-    _task: ConnectionTask,
+    task: ConnectionTask,
 }
 
 impl BackendConnection {
@@ -86,10 +86,17 @@
             history: ExchangeHistory::default(),
             style: None,
             meter,
-            _task: ConnectionTask(task),
+            task: ConnectionTask(task),
         })
     }
 
+    /// Closes the connection, and returns when it is closed.
+    pub(super) async fn close(mut self) {
+        self.task.0.abort();
+        // The task ends by the abort or ended before.
+        let _ = (&mut self.task.0).await;
+    }
+
     /// Whether it can be used for requests to a server at `address`.
     pub(super) fn is_usable(&self, address: SocketAddr, now: MilliTime) -> bool {
         self.address == address
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use prometheus_client::metrics::counter::Counter;
 use tokio::task::yield_now;
+use tokio::time::sleep;
 
 use super::backend_connection::{BackendConnection, IDLE_MAX};
 use super::metered_stream::ReadMeter;
@@ -31,6 +32,8 @@
 const IDLE_MAX_RUNS_ONCE: Duration = Duration::from_millis(1_500);
 /// Safety margin before the idle timeout announced by the backend server.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time in which the server notices that a connection is closed and accepts another in its place.
+const CLOSE_NOTICE_TIME: Duration = Duration::from_millis(5);
 /// Maximum size of an answer's body.
 const ANSWER_BYTES_MAX: usize = 64 << 20;
 /// Maximum bytes of an answer before its head is complete, interim answers among them.
@@ -174,7 +177,7 @@
             let is_pooled = pooled.is_some();
             let connection = match pooled {
                 Some(connection) => connection,
-                None => match self.connect(target.address).await {
+                None => match self.connect_for(target.address, &context.request_id).await {
                     Ok(connection) => connection,
                     Err(error) => {
                         if error.kind() == std::io::ErrorKind::ConnectionRefused {
@@ -367,6 +370,26 @@
         Some(idle.remove(newest))
     }
 
+    /// Opens a connection for a request. One that is idle and must not carry the request again makes
+    /// room for it, as servers bound their connections.
+    async fn connect_for(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+    ) -> std::io::Result<BackendConnection> {
+        let carried = {
+            let mut idle = self.idle.lock().expect("lock not poisoned");
+            let has_carried =
+                |connection: &BackendConnection| connection.history.sends(request_id) > 0;
+            idle.iter().position(has_carried).map(|index| idle.remove(index))
+        };
+        if let Some(carried) = carried {
+            carried.close().await;
+            sleep(CLOSE_NOTICE_TIME).await;
+        }
+        self.connect(address).await
+    }
+
     async fn connect(&self, address: SocketAddr) -> std::io::Result<BackendConnection> {
         let (count, doubt) = (self.idle_surplus.clone(), self.doubt.clone());
         let clock = self.clock.clone();
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,5 +1,6 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
+mod bounded_connections;
 mod copied_refusals;
 mod crashes;
 mod endless;
