The heads of answers are scanned before they are parsed

Cause: the parser removes a length beside a transfer-encoding, and with it the status line that told of the cut. What the parser keeps of a head is no evidence of what was read; the reason phrase that is not ASCII was the same case.

Change: the bytes of each head are scanned on their way to the parser (policy::head_scan, in the meter that all reads pass). More than one status line in a head, interim heads apart, makes it "merged", which has its place among the origins of an answer: it is counted and logged, its notices are not believed. A success may quote a status line if the first answer on its connection did. An answer with a status below 200 is spoiled; a new start of the server ends the doubt about the one before. Ruled out: a list of headers that parsers drop.

--- a/src/policy/answer_verdict.rs
+++ b/src/policy/answer_verdict.rs
@@ -26,8 +26,6 @@
     pub is_signed: bool,
     /// Whether its body is encoded, which is not the server's.
     pub is_encoded: bool,
-    /// Whether its head may be made of two, see [`HeadStyle`](super::head_style::HeadStyle).
-    pub is_merged: bool,
     /// Whether the request must not run twice.
     pub runs_once: bool,
 }
@@ -57,7 +55,6 @@
     ///     is_marked: true,
     ///     is_signed: false,
     ///     is_encoded: false,
-    ///     is_merged: false,
     ///     runs_once: true,
     /// };
     /// assert_eq!(refusal.verdict(), AnswerVerdict::Refused);
@@ -65,7 +62,7 @@
     /// assert_eq!(copy.verdict(), AnswerVerdict::Spoiled);
     /// ```
     pub fn verdict(&self) -> AnswerVerdict {
-        if !self.origin.is_own() || self.is_merged {
+        if !self.origin.is_own() || self.status < 200 {
             return AnswerVerdict::Spoiled;
         }
         if (200..300).contains(&self.status) {
--- a/src/policy/exchange_history.rs
+++ b/src/policy/exchange_history.rs
@@ -24,6 +24,8 @@
     Unnamed,
     /// It names more than one request.
     Ambiguous,
+    /// Its head is made of those of two answers.
+    Merged,
 }
 
 impl AnswerOrigin {
@@ -47,6 +49,7 @@
             AnswerOrigin::Foreign => "foreign",
             AnswerOrigin::Unnamed => "unnamed",
             AnswerOrigin::Ambiguous => "ambiguous",
+            AnswerOrigin::Merged => "merged",
         }
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,7 +12,7 @@
 pub mod crash_ledger;
 pub mod exchange_history;
 pub mod freshness;
-pub mod head_style;
+pub mod head_scan;
 pub mod incarnation;
 pub mod link_subset;
 pub mod moving_average;
--- a/src/sidecar/connection/backend_connection.rs
+++ b/src/sidecar/connection/backend_connection.rs
@@ -15,7 +15,6 @@
 
 use crate::clock::MilliTime;
 use crate::policy::exchange_history::ExchangeHistory;
-use crate::policy::head_style::HeadStyle;
 use crate::sidecar::connection::metered_stream::{MeteredStream, ReadMeter};
 
 /// A backend server on the same machine accepts a connection within this time or not at all.
@@ -50,8 +49,8 @@
     /// Whether it may be used again after the exchange under way.
     pub(super) is_kept: bool,
     pub(super) history: ExchangeHistory,
-    /// The style of its first answer.
-    pub(super) style: Option<HeadStyle>,
+    /// Status lines in the head of its first answer, which continues no other one.
+    pub(super) usual_status_lines: Option<usize>,
     pub(super) meter: Arc<ReadMeter>,
     task: ConnectionTask,
 }
@@ -84,7 +83,7 @@
             idle_max: IDLE_MAX,
             is_kept: true,
             history: ExchangeHistory::default(),
-            style: None,
+            usual_status_lines: None,
             meter,
             task: ConnectionTask(task),
         })
--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::ext::ReasonPhrase;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, DATE, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use prometheus_client::metrics::counter::Counter;
@@ -18,7 +17,7 @@
 use crate::clock::MilliClock;
 use crate::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
 use crate::policy::exchange_history::AnswerOrigin;
-use crate::policy::head_style::HeadStyle;
+use crate::policy::head_scan::HeadScan;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::policy::surplus_doubt::SurplusDoubt;
 use crate::request::header::end_to_end;
@@ -118,8 +117,14 @@
         self.doubt.lock().expect("lock not poisoned").note(self.clock.now());
     }
 
+    /// Forgets the server: another start of it is about to be used.
+    pub(crate) fn reset(&self) {
+        *self.doubt.lock().expect("lock not poisoned") = SurplusDoubt::default();
+        self.clear();
+    }
+
     /// Closes every idle connection.
-    pub(crate) fn clear(&self) {
+    fn clear(&self) {
         self.idle.lock().expect("lock not poisoned").clear();
     }
 
@@ -190,12 +195,13 @@
             };
             let mut connection = connection;
             connection.meter.allow(HEAD_BYTES_MAX);
+            connection.meter.begin_head();
             observer.observe_send();
             connection.history.begin(&context.request_id);
             connection.is_kept = !is_alone;
             match connection.sender.try_send_request(outgoing).await {
                 Ok(answer) => {
-                    let origin = self.origin(&connection, context, answer.headers());
+                    let origin = self.origin(&mut connection, context, &answer);
                     let head = Some((answer.status(), answer.headers(), origin));
                     observer.observe_answer(context, &seen_on(&connection, context, head));
                     match origin.is_own() {
@@ -204,10 +210,7 @@
                     }
                     // No later answer without an id could be told from a copy of this one.
                     connection.is_kept &= origin != AnswerOrigin::First;
-                    let style = head_style(&answer);
-                    let is_merged = style.is_merged(*connection.style.get_or_insert(style));
-                    let verdict =
-                        self.answer_traits(&answer, origin, is_merged, runs_once).verdict();
+                    let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
                     return self.finish_exchange(connection, answer, verdict).await;
                 }
                 Err(mut error) => match error.take_message() {
@@ -297,10 +300,16 @@
 
     fn origin(
         &self,
-        connection: &BackendConnection,
+        connection: &mut BackendConnection,
         context: &CallContext,
-        headers: &HeaderMap,
+        answer: &Response<hyper::body::Incoming>,
     ) -> AnswerOrigin {
+        let (status, headers) = (answer.status(), answer.headers());
+        let status_lines = connection.meter.status_lines();
+        let usual = connection.usual_status_lines.get_or_insert(status_lines);
+        if HeadScan::is_merged(status_lines, *usual, status.is_success()) {
+            return AnswerOrigin::Merged;
+        }
         let named = headers.get_all(&self.headers.request_id);
         connection.history.origin(&context.request_id, named.iter().map(HeaderValue::as_bytes))
     }
@@ -309,7 +318,6 @@
         &self,
         answer: &Response<hyper::body::Incoming>,
         origin: AnswerOrigin,
-        is_merged: bool,
         runs_once: bool,
     ) -> AnswerTraits {
         let headers = answer.headers();
@@ -319,7 +327,6 @@
             is_marked: headers.contains_key(&self.headers.not_run),
             is_signed: headers.contains_key(&self.headers.signature),
             is_encoded: headers.contains_key(CONTENT_ENCODING),
-            is_merged,
             runs_once,
         }
     }
@@ -414,13 +421,6 @@
     }
 }
 
-fn head_style(answer: &Response<hyper::body::Incoming>) -> HeadStyle {
-    let usual_reason = answer.status().canonical_reason().unwrap_or_default().as_bytes();
-    let reason = answer.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
-    let values = answer.headers().values().map(HeaderValue::as_bytes);
-    HeadStyle::of(reason.unwrap_or(usual_reason), values)
-}
-
 fn text_value(text: &str) -> Option<HeaderValue> {
     HeaderValue::from_str(text).ok()
 }
--- a/src/sidecar/connection/metered_stream.rs
+++ b/src/sidecar/connection/metered_stream.rs
@@ -6,20 +6,23 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::policy::head_scan::HeadScan;
+
 /// Largest read.
 const READ_BYTES_MAX: usize = 16 * 1024;
 
-/// Counts the bytes read from a stream and bounds them.
+/// Counts the bytes read from a stream and bounds them, and scans the heads among them.
 #[derive(Debug, Default)]
 pub(crate) struct ReadMeter {
     read: AtomicUsize,
     allowed: AtomicUsize,
+    scan: Mutex<HeadScan>,
 }
 
 impl ReadMeter {
@@ -29,6 +32,20 @@
         self.allowed.store(read.saturating_add(bytes), Ordering::Relaxed);
     }
 
+    /// Expects the head of an answer from here on.
+    pub(crate) fn begin_head(&self) {
+        *self.lock_scan() = HeadScan::begin();
+    }
+
+    /// The status lines in the head of the last answer.
+    pub(crate) fn status_lines(&self) -> usize {
+        self.lock_scan().status_lines()
+    }
+
+    fn lock_scan(&self) -> MutexGuard<'_, HeadScan> {
+        self.scan.lock().expect("lock not poisoned")
+    }
+
     fn remaining(&self) -> usize {
         let allowed = self.allowed.load(Ordering::Relaxed);
         allowed.saturating_sub(self.read.load(Ordering::Relaxed))
@@ -63,6 +80,7 @@
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
         let result = Pin::new(&mut self.stream).poll_read(cx, &mut part);
         let count = part.filled().len();
+        self.meter.lock_scan().read(part.filled());
         buffer.advance(count);
         self.meter.read.fetch_add(count, Ordering::Relaxed);
         result
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -196,7 +196,7 @@
         }
         let is_new = state.target.as_ref().is_none_or(|old| old.incarnation != target.incarnation);
         if is_new {
-            self.pool.clear();
+            self.pool.reset();
             state.queue.reset_measurements(self.clock.now());
         }
         state.target = Some(target);
--- a/tests/suite/policy/exchanges.rs
+++ b/tests/suite/policy/exchanges.rs
@@ -4,7 +4,7 @@
 use lentilway::clock::MilliTime;
 use lentilway::policy::answer_verdict::{AnswerTraits, AnswerVerdict};
 use lentilway::policy::exchange_history::{AnswerOrigin, EXCHANGES_MAX, ExchangeHistory};
-use lentilway::policy::head_style::{HeadStyle, has_status_line};
+use lentilway::policy::head_scan::HeadScan;
 use lentilway::policy::surplus_doubt::{DOUBT_SPAN, SurplusDoubt};
 
 fn history_of(ids: &[&str]) -> ExchangeHistory {
@@ -57,7 +57,6 @@
     is_marked: true,
     is_signed: false,
     is_encoded: false,
-    is_merged: false,
     runs_once: true,
 };
 const SUCCESS: AnswerTraits =
@@ -70,6 +69,7 @@
         AnswerOrigin::Foreign,
         AnswerOrigin::Unnamed,
         AnswerOrigin::Ambiguous,
+        AnswerOrigin::Merged,
     ] {
         for answer in [REFUSAL, SUCCESS, AnswerTraits { status: 421, ..REFUSAL }] {
             let answer = AnswerTraits { origin, ..answer };
@@ -83,8 +83,6 @@
     expect_that!(REFUSAL.verdict(), eq(AnswerVerdict::Refused));
     let unnamed = AnswerTraits { origin: AnswerOrigin::First, ..REFUSAL };
     expect_that!(unnamed.verdict(), eq(AnswerVerdict::Refused));
-    let merged = AnswerTraits { is_merged: true, ..REFUSAL };
-    expect_that!(merged.verdict(), eq(AnswerVerdict::Spoiled));
     let misdirected = AnswerTraits { status: 421, is_marked: false, ..REFUSAL };
     expect_that!(misdirected.verdict(), eq(AnswerVerdict::Refused));
 }
@@ -95,7 +93,8 @@
     for spoiled in [
         AnswerTraits { is_signed: false, ..SUCCESS },
         AnswerTraits { is_encoded: true, ..SUCCESS },
-        AnswerTraits { is_merged: true, ..SUCCESS },
+        AnswerTraits { origin: AnswerOrigin::Merged, ..SUCCESS },
+        AnswerTraits { status: 101, ..SUCCESS },
         AnswerTraits { origin: AnswerOrigin::First, ..SUCCESS },
     ] {
         expect_that!(spoiled.verdict(), eq(AnswerVerdict::Spoiled), "{spoiled:?}");
@@ -121,16 +120,6 @@
     }
 }
 
-#[gtest]
-fn has_status_line_examples() {
-    for value in ["HTTP/1.1 200 OK", "closeHTTP/1.0 503 ", "MisHTTP/1.1 421"] {
-        expect_that!(has_status_line(value.as_bytes()), eq(true), "{value}");
-    }
-    for value in ["", "HTTP/1.1", "HTTP/1.1 proxy.example", "HTTP/2 200 OK"] {
-        expect_that!(has_status_line(value.as_bytes()), eq(false), "{value}");
-    }
-}
-
 #[gtest]
 fn is_raised_until_span_ended() {
     let mut doubt = SurplusDoubt::default();
@@ -141,14 +130,36 @@
     expect_that!(doubt.is_raised(start + DOUBT_SPAN), eq(false));
 }
 
+fn status_lines(parts: &[&[u8]]) -> usize {
+    let mut scan = HeadScan::begin();
+    parts.iter().for_each(|part| scan.read(part));
+    scan.status_lines()
+}
+
 #[gtest]
-fn is_merged_unlike_first() {
-    let usual = HeadStyle::of(b"OK", []);
-    let quoting = HeadStyle::of(b"OK", [&b"HTTP/1.1 200 OK"[..]]);
-    let bare = HeadStyle::of(b"", []);
-    expect_that!(quoting.is_merged(usual), eq(true));
-    expect_that!(bare.is_merged(usual), eq(true));
-    for (style, first) in [(usual, usual), (usual, quoting), (quoting, quoting), (bare, bare)] {
-        expect_that!(style.is_merged(first), eq(false), "{style:?} after {first:?}");
+fn status_lines_one_answer() {
+    for head in [
+        "HTTP/1.1 200 OK\r\na: b\r\n\r\nbody HTTP/1.1 503 Busy",
+        "HTTP/1.0 503 \n\nHTTP/1.1 200 OK\r\n",
+        "\r\n\r\nHTTP/1.1 200 OK\r\nvia: HTTP/1.1 proxy\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\na: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+    ] {
+        expect_that!(status_lines(&[head.as_bytes()]), eq(1), "{head}");
+        let bytes: Vec<&[u8]> = head.as_bytes().chunks(1).collect();
+        expect_that!(status_lines(&bytes), eq(1), "{head}");
+    }
+}
+
+#[gtest]
+fn status_lines_cut_answer() {
+    for cut in [
+        "HTTP/1.1 503 Bu",
+        "HTTP/1.1 421 Mal adressé",
+        "HTTP/1.1 503 Busy\r\ncontent-length: 1",
+        "HTTP/1.1 103 Early",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Bu",
+    ] {
+        let due = b"HTTP/1.1 200 OK\r\na: b\r\n\r\nwhole";
+        expect_that!(status_lines(&[cut.as_bytes(), due]), eq(2), "{cut}");
     }
 }
--- a/tests/suite/sidecar/merged_answers.rs
+++ b/tests/suite/sidecar/merged_answers.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use super::fleet::{KEY, TestFleet};
-use super::kept_connections::{listen, read_head, request_id, whole_answer};
+use super::kept_connections::{REFUSAL, listen, read_head, request_id, whole_answer};
 
 /// Writes `surplus` before the answers to requests for a cut copy, which run.
 async fn serve_after(
@@ -87,3 +87,79 @@
         expect_that!(fleet.send(&daemon, "/write/1", KEY).await.status, eq(200), "{number}");
     }
 }
+
+/// Writes a refusal that is cut in its length before the answers to requests for it, which run and
+/// are answered in chunks.
+async fn serve_chunked_after_cut_length(
+    mut stream: TcpStream,
+    runs: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    loop {
+        let head = read_head(&mut stream).await?;
+        let whole = whole_answer(request_id(&head));
+        if head.contains("/write/cut") {
+            runs.fetch_add(1, Ordering::SeqCst);
+            stream.write_all(format!("{REFUSAL}content-length: 1").as_bytes()).await?;
+            let chunked = whole.replace("content-length: 5", "transfer-encoding: chunked");
+            let chunked = chunked.replace("whole", "5\r\nwhole\r\n0\r\n\r\n");
+            stream.write_all(chunked.as_bytes()).await?;
+        } else {
+            stream.write_all(whole.as_bytes()).await?;
+        }
+    }
+}
+
+/// The parser drops a length beside chunks, and the status line in it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_chunked_after_refusal_cut_in_length() {
+    let (listener, address) = listen().await;
+    let runs = Arc::new(AtomicUsize::new(0));
+    let run_count = runs.clone();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            // An error means that the daemon has closed the connection.
+            tokio::spawn(serve_chunked_after_cut_length(stream, run_count.clone()));
+        }
+    });
+    let fleet = TestFleet::new();
+    let daemon = fleet.start_beside("one", "stock", address).await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    let answer = fleet.send(&daemon, "/write/cut", KEY).await;
+    expect_that!([200, 502].contains(&answer.status), eq(true), "{}", answer.status);
+    expect_that!(runs.load(Ordering::SeqCst), eq(1));
+}
+
+/// Answers a request for a cut answer with a part of the body, and then with `surplus`.
+async fn serve_cut_before(mut stream: TcpStream, surplus: &'static str) -> std::io::Result<()> {
+    loop {
+        let head = read_head(&mut stream).await?;
+        let whole = whole_answer(request_id(&head));
+        let (sent, rest) = match head.contains("/write/cut") {
+            true => (whole.strip_suffix("ole").unwrap_or_default(), surplus),
+            false => (whole.as_str(), ""),
+        };
+        stream.write_all(format!("{sent}{rest}").as_bytes()).await?;
+    }
+}
+
+/// The begin of an answer too many does not make a cut body whole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_cut_in_body_not_completed_by_surplus() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let surplus = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+            // An error means that the daemon has closed the connection.
+            tokio::spawn(serve_cut_before(stream, surplus));
+        }
+    });
+    let fleet = TestFleet::new();
+    let daemon = fleet.start_beside("one", "stock", address).await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    let answer = fleet.send(&daemon, "/write/cut", KEY).await;
+    expect_that!(answer.status, eq(502));
+}
