The mark of a backend server is not passed on to callers

Change: the mark, which is between the server and its daemon, is removed; a refusal is the daemon's own answer. Ruled out: refusing the answer, which is whole.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -293,6 +293,7 @@
         // The daemon that received the request sets the id and the date itself.
         headers.remove(&self.headers.request_id);
         headers.remove(DATE);
+        headers.remove(&self.headers.not_run);
         let headers = header_pairs(&headers, &body);
         let status = parts.status.as_u16();
         Ok(CallOutcome::Answered(BackendAnswer { status, headers, body }))
--- a/tests/suite/sidecar/outcomes.rs
+++ b/tests/suite/sidecar/outcomes.rs
@@ -147,3 +147,18 @@
     // Well before the caller's deadline of two seconds, which would end the run too.
     expect_that!(timeout(Duration::from_millis(1_500), cancelled).await, ok(anything()));
 }
+
+/// An answer that counts as run does not carry "not run" to the caller.
+#[gtest]
+#[tokio::test]
+async fn write_marked_end_mark_removed() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/write/1", KEY, 200).await;
+    for status in [200, 404, 500, 504] {
+        daemon.backend.set_behaviour(BackendBehaviour::Ends { status, is_marked: true });
+        let answer = fleet.send(&daemon, "/write/1", KEY).await;
+        let is_marked = answer.headers.contains_key("x-lentilway-not-executed");
+        expect_that!((answer.status, is_marked), eq((status, false)));
+    }
+}
