The daemon with result codes believes no answer that continues another one

What callers saw, found by the review: 2020, "not run", for 3 of 3 requests on a kept connection, all of which ran: the server writes a refusal that is cut in a value and then the answer that is due.

Cause: the same class as in the sidecar daemon. The attempt that an answer names is that of the second part of a head, its status and mark are the first's. Change: an answer is crossed if its head contains a status line in a value or in the reason phrase, or names more than one attempt; its connection is retired. Ruled out for now: a scan of the bytes as in the sidecar daemon, as the pooled client gives no access to them; a cut in a length before an answer in chunks, and in a reason phrase that is not ASCII, remain open here.

--- a/src/connection/backend_link.rs
+++ b/src/connection/backend_link.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::ext::ReasonPhrase;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -17,6 +18,7 @@
 
 use crate::clock::MilliTime;
 use crate::error::ResultCode;
+use crate::policy::head_scan::HeadScan;
 use crate::process::shared::DaemonShared;
 use crate::request::answer::BufferedAnswer;
 use crate::request::handle::ContextHandle;
@@ -129,7 +131,7 @@
     let mut cancel = CancelGuard { client: client.clone(), url, armed: true };
     let exchange = async {
         let answer = client.request(outgoing).await.map_err(send_error_code)?;
-        if !echoes(&answer, &attempt) {
+        if !echoes(&answer, &attempt) || is_merged(&answer) {
             retire(&connection);
             shared.metrics.count("answer_crossed");
             return Err(ResultCode::AnswerMissing);
@@ -174,8 +176,22 @@
     }
 }
 
+/// Whether the answer names this attempt and no other.
 fn echoes(answer: &Response<Incoming>, attempt: &str) -> bool {
-    answer.headers().get(ATTEMPT).is_some_and(|value| value == attempt)
+    let mut named = answer.headers().get_all(ATTEMPT).iter();
+    named.next().is_some_and(|value| value == attempt) && named.next().is_none()
+}
+
+/// Whether a part of the head contains another status line, as where an answer that was cut is
+/// continued by the next one.
+fn is_merged(answer: &Response<Incoming>) -> bool {
+    let reason = answer.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+    let mut parts = answer.headers().values().map(HeaderValue::as_bytes).chain(reason);
+    parts.any(|part| {
+        let mut scan = HeadScan::begin();
+        scan.read(part);
+        scan.status_lines() > 0
+    })
 }
 
 async fn read_answer(
--- a/tests/suite/answers.rs
+++ b/tests/suite/answers.rs
@@ -213,3 +213,69 @@
     }
     Ok(())
 }
+
+/// A cut part of a refusal, which the answer that is due continues.
+const CUT_REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nlentilway-not-run: true\r\nserver: sto";
+
+/// Answers the first request of a connection wholly, and later ones after a cut refusal.
+async fn serve_after_cut_refusal(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut received = Vec::new();
+    for exchange in 0.. {
+        let end = loop {
+            let mut buffer = [0; 4096];
+            let count = stream.read(&mut buffer).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            received.extend_from_slice(&buffer[..count]);
+            let found = received.windows(4).position(|window| window == b"\r\n\r\n");
+            if let Some(end) = found {
+                break end;
+            }
+        };
+        let text = String::from_utf8_lossy(&received[..end]).to_lowercase();
+        let attempt = text.lines().find_map(|line| line.strip_prefix("lentilway-attempt: "));
+        let whole = RawAnswer::Foreign.bytes("");
+        let whole = whole.replace(&"0".repeat(32), attempt.unwrap_or_default());
+        received.clear();
+        let surplus = if exchange == 0 { "" } else { CUT_REFUSAL };
+        stream.write_all(format!("{surplus}{whole}").as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// An answer that continues a cut refusal is no refusal: the request ran.
+#[gtest]
+#[tokio::test]
+async fn answer_after_cut_refusal_may_have_run() -> Result<()> {
+    let mut fleet = start_fleet(BackendBehaviour::default()).await;
+    let node = fleet.nodes.remove(0);
+    node.backend.kill();
+    let listener = TcpListener::bind(ANY_PORT).await?;
+    let address = listener.local_addr()?;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
+        let mut connections = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            connections.spawn(serve_after_cut_refusal(stream));
+        }
+    });
+    let announcement = CallerRequest {
+        method: "POST".into(),
+        path: "/lentilway/announce".into(),
+        body: json!({ "service": "stock", "address": address, "boot": 1 }).to_string(),
+        ..CallerRequest::default()
+    };
+    let caller = Caller::default();
+    let announced = caller.send(node.daemon.addresses.slot, &announcement).await;
+    expect_that!(announced.map(|answer| answer.status), ok(eq(&200)));
+    wait_members(&node.daemon, 2).await;
+    for number in 0..4 {
+        let request = CallerRequest::get("/stock/7", KEY);
+        let answer = caller.send(node.daemon.addresses.caller, &request).await;
+        let code = answer.map(|answer| answer.code).unwrap_or(0);
+        expect_that!([1000, 3001].contains(&code), eq(true), "request {number}: {code}");
+    }
+    Ok(())
+}
