Stand-in: an upstream that ends closes its listener first

`sidecar::crashes::deadly_request_spares_service` failed with 3 servers down at once, wanted 2, since the stand-in serves its connections itself: 4 of 30 runs, three and more at once; 0 of 25 on. Cause: the listener was dropped after the connections, so that a daemon that lost a connection could still open another and took the end of the server for a broken connection. A process closes its listener no later than its connections. `request_served_by_last_server` (KNOWN-RED) failed for a like reason in 4 of 35 runs on: the end was recorded after the connections closed, and the test reads the record as soon as one has.

The listener is now dropped first, and the end is recorded before either. No test changes.

--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -116,6 +116,8 @@
     F: Future<Output = ()> + Send + 'static,
 {
     let mut connections = JoinSet::new();
+    // Dropped before the connections: a client that loses one finds nothing listening.
+    let listener = listener;
     loop {
         tokio::select! {
             accepted = listener.accept() => {
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -238,8 +238,9 @@
 /// Closes the listener and all connections once a request ends the upstream.
 async fn end_on_crash(state: Arc<UpstreamState>, tasks: Arc<Mutex<JoinSet<()>>>) {
     state.crash.notified().await;
-    tasks.lock().expect("lock not poisoned").abort_all();
+    // Recorded before a client can notice it.
     state.observer.crashed(&state.instance);
+    tasks.lock().expect("lock not poisoned").abort_all();
 }
 
 async fn send_heartbeats(state: Arc<UpstreamState>) {
