Tests of "not run" over links that hold frames back

What a caller hears when a frame comes late or never: a call that is held until its caller was answered or its daemon is gone, an answer held past the deadline, a refusal held before it, a link reset while the call runs, a called daemon killed between the server's refusal and its frame. Held: at most one run, 504 or 502 where the outcome is open, and 503 or a new send only after a refusal that arrived.

--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -7,6 +7,7 @@
 mod exchange_orders;
 mod fleet;
 pub(crate) mod floods;
+mod held_links;
 mod kept_connections;
 mod keys;
 mod leaves;
--- /dev/null
+++ b/tests/suite/sidecar/held_links.rs
@@ -0,0 +1,204 @@
+//! Calls over a link between daemons that holds frames back, breaks or is replaced.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lentilway::sidecar::process::keyed_store::StoreTopic;
+use lentilway_stand_ins::link::{FaultyLink, LinkMode};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use super::fleet::{CallerAnswer, KEY, TestDaemon, TestFleet, own_loopback, wait_until};
+use super::planned_server::{ArrivalPlan, IdPlace, PlannedServer, Reaction};
+
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// Both daemons close a silent link after two seconds.
+const HOLD_TIME: Duration = Duration::from_millis(600);
+/// Time in which frames that were held back arrive and have their effect.
+const ARRIVAL_SPAN: Duration = Duration::from_millis(300);
+const CASES: usize = 5;
+
+fn arrival(reaction: Reaction) -> ArrivalPlan {
+    ArrivalPlan { reaction, id_place: IdPlace::Last, copy_before: None, copy_after: None }
+}
+
+/// A daemon whose calls reach another daemon, which stands beside the server, through a relay.
+struct LinkedFleet {
+    fleet: TestFleet,
+    entry: TestDaemon,
+    called: TestDaemon,
+    relay: FaultyLink,
+    server: PlannedServer,
+}
+
+impl LinkedFleet {
+    /// A fleet whose server reacts like this to the first arrivals of each request.
+    async fn start(reactions: &[Reaction]) -> Self {
+        let plans: Vec<ArrivalPlan> = reactions.iter().copied().map(arrival).collect();
+        let paths = (0..CASES).flat_map(|case| [format!("/write/{case}"), format!("/read/{case}")]);
+        let plans: HashMap<_, _> = paths.map(|path| (path, plans.clone())).collect();
+        let server = PlannedServer::start(plans).await;
+        let fleet = TestFleet::new();
+        let called = fleet.start_beside("one", "stock", server.address).await;
+        fleet.until(&called, "/read/first", KEY, 200).await;
+        let relay = FaultyLink::start(own_loopback(), called.settings.peer_listen).await.unwrap();
+        list_at(&fleet, "one", relay.address());
+        let entry = fleet.start("two", "prices").await;
+        fleet.until(&entry, "/read/first", KEY, 200).await;
+        LinkedFleet { fleet, entry, called, relay, server }
+    }
+
+    /// Sends a request to the daemon whose calls pass the relay.
+    fn send(&self, path: &str, deadline: Duration) -> JoinHandle<Option<CallerAnswer>> {
+        let id = format!("held-{path}").replace('/', "-");
+        tokio::spawn(self.fleet.try_request(&self.entry, path, KEY, &id, deadline))
+    }
+
+    fn arrivals(&self, path: &str) -> usize {
+        self.server.arrivals().iter().filter(|arrival| arrival.path == path).count()
+    }
+
+    fn runs(&self, path: &str) -> usize {
+        let arrivals = self.server.arrivals();
+        arrivals.iter().filter(|arrival| arrival.path == path && arrival.ran()).count()
+    }
+
+    async fn arrived(&self, path: &str) {
+        wait_until(|| self.arrivals(path) > 0).await;
+    }
+
+    /// Has the relay pass everything after a case, and waits until calls pass.
+    async fn recover(&self, case: usize) {
+        self.relay.set_mode(LinkMode::Pass);
+        // The server keeps sending heartbeats.
+        self.fleet.announce(&self.called, 2 + case as u64, false).await;
+        self.fleet.until(&self.entry, "/read/first", KEY, 200).await;
+    }
+}
+
+/// Has the directory list a daemon at another address.
+fn list_at(fleet: &TestFleet, name: &str, address: SocketAddr) {
+    let record = fleet.store.directory_value(name).expect("the daemon is listed");
+    let mut record: serde_json::Value = serde_json::from_slice(&record).unwrap();
+    record["address"] = address.to_string().into();
+    fleet.store.write(StoreTopic::Directory, name, Some(record.to_string().into_bytes()));
+}
+
+fn status(answer: Option<CallerAnswer>) -> Option<u16> {
+    answer.map(|answer| answer.status)
+}
+
+/// A call that arrives when its caller was told that the time is over may run, but once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn call_held_past_deadline() {
+    let fleet = LinkedFleet::start(&[]).await;
+    for case in 0..CASES {
+        let path = format!("/write/{case}");
+        fleet.relay.set_mode(LinkMode::Silent);
+        let answer = fleet.send(&path, HOLD_TIME / 2).await.unwrap();
+        expect_that!(status(answer), some(eq(504)));
+        expect_that!(fleet.arrivals(&path), eq(0));
+        fleet.recover(case).await;
+        sleep(ARRIVAL_SPAN).await;
+        expect_that!(fleet.runs(&path), le(1));
+    }
+}
+
+/// A call that arrives when the daemon that sent it is gone runs at most once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn call_held_past_callers_daemon() {
+    let fleet = LinkedFleet::start(&[]).await;
+    fleet.relay.set_mode(LinkMode::Silent);
+    let caller = fleet.send("/write/0", DEADLINE);
+    sleep(HOLD_TIME / 2).await;
+    let LinkedFleet { fleet: daemons, entry, relay, server, called: _called } = fleet;
+    let entry = daemons.restart(entry).await;
+    // The daemon is gone without an answer.
+    expect_that!(status(caller.await.unwrap()), none());
+    relay.set_mode(LinkMode::Pass);
+    daemons.until(&entry, "/read/first", KEY, 200).await;
+    sleep(ARRIVAL_SPAN).await;
+    let runs = server.arrivals().iter().filter(|arrival| arrival.path == "/write/0").count();
+    expect_that!(runs, le(1));
+}
+
+/// A run whose answer is held back is never one that did not run.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_held_past_deadline() {
+    let fleet = LinkedFleet::start(&[]).await;
+    for case in 0..CASES {
+        let path = format!("/write/{case}");
+        fleet.relay.set_mode(LinkMode::OneWay);
+        let answer = fleet.send(&path, HOLD_TIME).await.unwrap();
+        expect_that!(status(answer), some(eq(504)));
+        expect_that!(fleet.runs(&path), eq(1));
+        fleet.recover(case).await;
+        sleep(ARRIVAL_SPAN).await;
+        expect_that!(fleet.runs(&path), eq(1));
+    }
+}
+
+/// A link that is reset while the server runs a call leaves the outcome open; a request that may run
+/// again is sent again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn link_reset_while_call_runs() {
+    let fleet = LinkedFleet::start(&[Reaction::Hang]).await;
+    for case in 0..CASES {
+        let path = format!("/write/{case}");
+        let caller = fleet.send(&path, DEADLINE);
+        fleet.arrived(&path).await;
+        let reset = Instant::now();
+        fleet.relay.set_mode(LinkMode::Reset);
+        expect_that!(status(caller.await.unwrap()), some(eq(502)));
+        expect_that!(reset.elapsed(), lt(HOLD_TIME));
+        fleet.recover(case).await;
+        expect_that!(fleet.runs(&path), eq(1));
+    }
+}
+
+/// The called daemon is killed when the server has refused a call and before that is told: the
+/// outcome is open, and the call is not sent again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn called_daemon_killed_before_refusal_told() {
+    let fleet = LinkedFleet::start(&[Reaction::Refuse { status: 503, has_mark: true }]).await;
+    fleet.relay.set_mode(LinkMode::OneWay);
+    let caller = fleet.send("/write/0", DEADLINE);
+    fleet.arrived("/write/0").await;
+    sleep(HOLD_TIME / 2).await;
+    let LinkedFleet { fleet: daemons, entry, called, relay, server } = fleet;
+    let called = daemons.restart(called).await;
+    // The frames that it holds are lost.
+    drop(relay);
+    expect_that!(status(caller.await.unwrap()), some(eq(502)));
+    list_at(&daemons, "one", called.settings.peer_listen);
+    daemons.until(&entry, "/read/first", KEY, 200).await;
+    sleep(ARRIVAL_SPAN).await;
+    expect_that!(server.arrivals().len(), eq(1));
+}
+
+/// A refusal that is told late holds: the call is sent again if the retry budget has room, and then
+/// runs, or its caller hears "not run".
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_held_before_deadline() {
+    let fleet = LinkedFleet::start(&[Reaction::Refuse { status: 503, has_mark: true }]).await;
+    for case in 0..CASES {
+        let path = format!("/write/{case}");
+        fleet.relay.set_mode(LinkMode::OneWay);
+        let caller = fleet.send(&path, DEADLINE);
+        fleet.arrived(&path).await;
+        sleep(HOLD_TIME / 2).await;
+        expect_that!(fleet.arrivals(&path), eq(1));
+        fleet.recover(case).await;
+        let told = status(caller.await.unwrap());
+        let outcome = (told, fleet.arrivals(&path), fleet.runs(&path));
+        expect_that!(outcome, any![eq((Some(200), 2, 1)), eq((Some(503), 1, 0))]);
+    }
+}
