A call ends with the link that it waits on, also when the link is replaced

What callers saw: while a call waited, the directory listed the called daemon at another address (or no longer at all, or another subset of a large service was planned). The link was closed, the called daemon gave the run up, and the caller waited until its deadline for an answer that could not come: 504, also for requests that may run again.

Cause: waiting calls were ended after the link's loop, which does not get there when the task of the link is aborted. The calls themselves hold the link, and with it their own senders. Ruled out: a link that breaks by itself; there the loop returns (link_reset_while_call_runs passed before).

Change: they are ended when the loop is dropped, whatever ended it. Its queue is closed by then, so that a call that comes in between fails at once.

--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// Ends the calls that wait on a link when dropped, also when the task of the link is aborted.
+struct OpenLink(Arc<PeerLink>);
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.0.drop_calls();
+    }
+}
+
 impl PeerLink {
     fn new(sender: mpsc::UnboundedSender<PeerMessage>) -> Self {
         PeerLink {
@@ -134,15 +143,14 @@
     let (read_half, write_half) = stream.into_split();
     let (sender, queue) = mpsc::unbounded_channel();
     let link = Arc::new(PeerLink::new(sender));
+    let _open = OpenLink(link.clone());
     let writing = write_frames(write_half, queue);
     let reading =
         read_messages(shared, peer, &link, FrameReader::new(read_half, shared.bodies.clone()));
-    let error = tokio::select! {
+    tokio::select! {
         result = writing => result.err().unwrap_or(LinkError::Closed),
         error = reading => error,
-    };
-    link.drop_calls();
-    error
+    }
 }
 
 async fn read_messages(
--- a/tests/suite/sidecar/held_links.rs
+++ b/tests/suite/sidecar/held_links.rs
@@ -202,3 +202,30 @@
         expect_that!(outcome, any![eq((Some(200), 2, 1)), eq((Some(503), 1, 0))]);
     }
 }
+
+/// The directory lists the called daemon at another address while a call waits: the link is replaced,
+/// and the caller hears at once that the outcome is open.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn link_replaced_while_call_waits() {
+    let fleet = LinkedFleet::start(&[Reaction::Hang]).await;
+    let caller = fleet.send("/write/0", DEADLINE);
+    fleet.arrived("/write/0").await;
+    let replaced = Instant::now();
+    list_at(&fleet.fleet, "one", fleet.called.settings.peer_listen);
+    expect_that!(status(caller.await.unwrap()), some(eq(502)));
+    expect_that!(replaced.elapsed(), lt(HOLD_TIME));
+    expect_that!(fleet.runs("/write/0"), eq(1));
+}
+
+/// As above, and a request that may run again is sent again over the new link.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn link_replaced_while_read_waits() {
+    let fleet = LinkedFleet::start(&[Reaction::Hang]).await;
+    let caller = fleet.send("/read/0", DEADLINE);
+    fleet.arrived("/read/0").await;
+    list_at(&fleet.fleet, "one", fleet.called.settings.peer_listen);
+    expect_that!(status(caller.await.unwrap()), some(eq(200)));
+    expect_that!(fleet.runs("/read/0"), eq(2));
+}
