A position that the store refused does not come back from a peer

Cause: a 410 set the position to None, which also stood for "nothing read yet".

Change: TopicPosition keeps how far a copy is complete apart from where the store can be read on. Both only grow, so that no order of reads, refusals and reports brings a refused position back. ConfigState holds the merge rules of the configuration; both are in src/policy. The first offset in a 410 or a read is used; a position beyond the end is discarded until the store was read. New line and counter: position-refused.

Tests: dropped_positions::config_in_force_history_dropped_in_outage and _one_reader failed before: none of four daemons had the version after 4 s. dropped_positions::directory_read_history_dropped_in_outage passed before, by luck of its times.

--- a/src/policy/read_schedule.rs
+++ b/src/policy/read_schedule.rs
@@ -204,3 +204,23 @@
     let doublings = failures.saturating_sub(1).min(16);
     first.saturating_mul(1 << doublings).min(max).mul_f64(0.5 + draw)
 }
+
+/// The delay until the snapshot that the store's refusal of a position calls for. The store has
+/// answered, so earlier failures do not add to it; a daemon with a reachable reader leaves that one
+/// the time to read, if others may have failed like itself.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::policy::read_schedule::{ReaderRank, snapshot_delay};
+/// let reader = ReaderRank { before: 0, has_reader: false };
+/// assert_eq!(snapshot_delay(9, reader, 1.0), Duration::ZERO);
+/// let follower = ReaderRank { before: 3, has_reader: true };
+/// assert_eq!(snapshot_delay(0, follower, 1.0), Duration::ZERO);
+/// assert_eq!(snapshot_delay(9, follower, 1.0), Duration::from_secs(3));
+/// ```
+pub fn snapshot_delay(failures: u32, rank: ReaderRank, draw: f64) -> Duration {
+    match rank.has_reader && failures > 0 {
+        true => read_retry_delay(1, rank, draw),
+        false => Duration::ZERO,
+    }
+}
--- a/src/sidecar/process/config_copy.rs
+++ b/src/sidecar/process/config_copy.rs
@@ -1,7 +1,4 @@
 //! This daemon's copy of the newest configuration, and its freshness.
-//!
-//! Versions order the contents, whatever their source. The position in the store only tells from
-//! where this daemon reads on.
 
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -9,7 +6,7 @@
 use bytes::Bytes;
 
 use crate::clock::MilliTime;
-use crate::policy::freshness::FreshnessProof;
+use crate::policy::config_state::{ConfigChange, ConfigClaim, ConfigRead, ConfigState};
 use crate::policy::store_position::{StoreEra, StorePosition};
 use crate::sidecar::connection::frame::ConfigReport;
 
@@ -21,82 +18,71 @@
 }
 
 #[derive(Debug, Default)]
-struct ConfigState {
+struct CopyState {
+    known: ConfigState,
     newest: Option<VersionRecord>,
-    position: Option<StorePosition>,
-    /// The newest era of a position, and the version known when it was reached.
-    era: StoreEra,
-    first_version: u64,
-    freshness: FreshnessProof,
 }
 
-impl ConfigState {
-    fn version(&self) -> u64 {
-        self.newest.as_ref().map_or(0, |newest| newest.version)
-    }
-
-    /// Takes a version over unless a higher one is known.
-    fn offer(&mut self, found: Option<VersionRecord>, apply: impl FnOnce()) {
-        if let Some(found) = found.filter(|found| found.version > self.version()) {
+impl CopyState {
+    fn take(
+        &mut self,
+        change: ConfigChange,
+        found: Option<VersionRecord>,
+        apply: impl FnOnce(),
+    ) -> bool {
+        if change.is_newer {
             apply();
-            self.newest = Some(found);
-        }
-    }
-
-    fn advance(&mut self, position: StorePosition) {
-        self.position = self.position.max(Some(position));
-    }
-
-    fn enter_era(&mut self, era: StoreEra) {
-        if era > self.era {
-            self.first_version = self.version();
-            self.era = era;
-            self.position = None;
+            self.newest = found;
         }
+        change.is_proof
     }
 }
 
 /// The copy of the newest configuration.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigCopy {
-    state: Mutex<ConfigState>,
+    state: Mutex<CopyState>,
 }
 
 impl ConfigCopy {
     /// The version known here; 0 before the first.
     pub(crate) fn version(&self) -> u64 {
-        self.lock().version()
+        self.lock().known.version()
     }
 
-    /// The position up to which the store was read.
-    pub(crate) fn position(&self) -> Option<StorePosition> {
-        self.lock().position
+    /// The position from which the store is read on; `None` if only a snapshot leads on.
+    pub(crate) fn read_position(&self) -> Option<StorePosition> {
+        self.lock().known.read_position()
     }
 
-    /// Forgets the position, so that the next read is a snapshot.
-    pub(crate) fn clear_position(&self) {
-        self.lock().position = None;
+    /// Records that the store no longer has the records before `first`.
+    pub(crate) fn refuse_before(&self, first: StorePosition) {
+        self.lock().known.refuse_before(first);
     }
 
-    /// Forgets a position of an earlier era than `era`, and ignores those that others report.
+    /// Records that the store does not know the position.
+    pub(crate) fn discard_position(&self) {
+        self.lock().known.discard_position();
+    }
+
+    /// Records that the store is in `era` or a later one.
     pub(crate) fn enter_era(&self, era: StoreEra) {
-        self.lock().enter_era(era);
+        self.lock().known.enter_era(era);
     }
 
     /// The age of the freshness proof.
     pub(crate) fn age(&self, now: MilliTime) -> Option<Duration> {
-        self.lock().freshness.age(now)
+        self.lock().known.age(now)
     }
 
     /// Whether the freshness proof is younger than `bound`.
     pub(crate) fn is_fresh(&self, now: MilliTime, bound: Duration) -> bool {
-        self.lock().freshness.is_fresh(now, bound)
+        self.lock().known.is_fresh(now, bound)
     }
 
     /// The version known here when `era` began.
     pub(crate) fn first_version(&self, era: StoreEra) -> u64 {
-        let state = self.lock();
-        if state.era == era { state.first_version } else { state.version() }
+        self.lock().known.first_version(era)
     }
 
     /// Merges a read of the store up to `position`. It proves the state as of `proven`, if that is
@@ -109,18 +95,11 @@
         found: Option<VersionRecord>,
         apply: impl FnOnce(),
     ) -> bool {
+        let found_version = found.as_ref().map(|found| found.version);
+        let read = ConfigRead { position, found: found_version, proven, floor };
         let mut state = self.lock();
-        state.enter_era(position.era);
-        state.offer(found, apply);
-        if position.era < state.era {
-            return false;
-        }
-        state.advance(position);
-        let proven = proven.filter(|_| state.version() >= floor);
-        if let Some(proven) = proven {
-            state.freshness.prove(proven);
-        }
-        proven.is_some()
+        let change = state.known.merge_read(&read);
+        state.take(change, found, apply)
     }
 
     /// Merges the report of another daemon, which answers a request made at `requested` if it is
@@ -133,40 +112,36 @@
         found: Option<VersionRecord>,
         apply: impl FnOnce(),
     ) {
+        let age = report.age_millis.map(|age| Duration::from_millis(u64::from(age)));
+        let claim = ConfigClaim {
+            version: report.version,
+            found: found.as_ref().map(|found| found.version),
+            position: report.position,
+            proven: requested.zip(age).map(|(requested, age)| requested.before(age)),
+        };
         let mut state = self.lock();
-        if let Some(position) = report.position {
-            state.enter_era(position.era);
-        }
-        state.offer(found, apply);
-        if state.version() < report.version {
-            return;
-        }
-        if let Some(position) = report.position.filter(|position| position.era >= state.era) {
-            state.advance(position);
-        }
-        if let (Some(requested), Some(age)) = (requested, report.age_millis) {
-            state.freshness.prove(requested.before(Duration::from_millis(u64::from(age))));
-        }
+        let change = state.known.merge_claim(&claim);
+        state.take(change, found, apply);
     }
 
     /// The report for a daemon that knows `version`; `None` before the first read.
     pub(crate) fn report(&self, now: MilliTime, version: u64) -> Option<ConfigReport> {
         let state = self.lock();
-        if state.newest.is_none() && state.position.is_none() {
+        if state.known.is_unknown() {
             return None;
         }
         let age_millis =
-            state.freshness.age(now).map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+            state.known.age(now).map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         let newest = state.newest.as_ref().filter(|newest| newest.version > version);
         Some(ConfigReport {
-            version: state.version(),
-            position: state.position,
+            version: state.known.version(),
+            position: state.known.read_position(),
             age_millis,
             record: newest.map(|newest| newest.record.clone()),
         })
     }
 
-    fn lock(&self) -> MutexGuard<'_, ConfigState> {
+    fn lock(&self) -> MutexGuard<'_, CopyState> {
         self.state.lock().expect("lock not poisoned")
     }
 }
--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -68,8 +68,14 @@
         era: StoreEra,
     },
     /// The records after the position are no longer retained.
-    #[snafu(display("the store no longer retains the requested records"))]
-    Expired,
+    #[snafu(display("the store retains records from offset {} on, era {}", first.offset, first.era.0))]
+    Expired {
+        /// Changes can be read from here on.
+        first: StorePosition,
+    },
+    /// The position is not one of the topic.
+    #[snafu(display("the store does not know the requested position"))]
+    UnknownPosition,
     /// The answer could not be decoded.
     #[snafu(display("unreadable answer from the store: {reason}"))]
     Unreadable {
@@ -90,8 +96,8 @@
     /// Reads the records after `cursor`. Waits up to `wait` for the first, then returns empty.
     ///
     /// # Errors
-    /// [`StoreError::Restored`] and [`StoreError::Expired`] if a snapshot is needed, otherwise as
-    /// [`KeyedStore::snapshot`].
+    /// [`StoreError::Restored`], [`StoreError::Expired`] and [`StoreError::UnknownPosition`] if a snapshot
+    /// is needed, otherwise as [`KeyedStore::snapshot`].
     async fn changes(
         &self,
         topic: StoreTopic,
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -16,7 +16,7 @@
 use crate::clock::MilliTime;
 use crate::policy::freshness::proven_at;
 use crate::policy::read_schedule::{
-    ReadSchedule, ReadStep, ReaderRank, first_read_delay, read_retry_delay,
+    ReadSchedule, ReadStep, ReaderRank, first_read_delay, read_retry_delay, snapshot_delay,
 };
 
 /// Other daemons that a daemon with a stale proof asks at a time.
@@ -150,7 +150,7 @@
     async fn read(&mut self, wait: Duration) -> bool {
         let requested = self.shared.clock.now();
         let view = &self.shared.store_view;
-        let from = view.position(self.topic);
+        let from = view.read_position(self.topic);
         let wait = match self.topic {
             // A read that proves nothing yet waits for what is to be written again.
             StoreTopic::Configuration => wait.max(view.hold_remaining()),
@@ -202,15 +202,22 @@
 
     fn record_failure(&mut self, error: &StoreError) {
         let view = &self.shared.store_view;
-        let had_position = view.position(self.topic).is_some();
+        let position = view.read_position(self.topic);
         match error {
-            StoreError::Expired => view.clear_position(self.topic),
+            StoreError::Expired { first } => view.refuse_before(self.topic, *first),
+            StoreError::UnknownPosition => view.discard_position(self.topic),
             StoreError::Restored { era } => view.enter_era(*era),
             _ => {}
         }
-        let needs_snapshot = had_position && view.position(self.topic).is_none();
-        if needs_snapshot && self.failures == 0 {
+        if matches!(error, StoreError::Expired { .. } | StoreError::UnknownPosition) {
+            self.shared.log_position_refused(self.topic, position, error);
+        }
+        let needs_snapshot = position.is_some() && view.read_position(self.topic).is_none();
+        if needs_snapshot {
+            let rank = self.shared.peers.reader_rank();
+            let delay = snapshot_delay(self.failures, rank, rand::random::<f64>());
             self.failures = 1;
+            self.retry_at = self.shared.clock.now() + delay;
         } else {
             self.retry_later();
         }
--- a/src/sidecar/process/store_report.rs
+++ b/src/sidecar/process/store_report.rs
@@ -27,6 +27,14 @@
     is_trusted: bool,
 }
 
+#[derive(Serialize)]
+struct PositionRefusedLine {
+    topic: StoreTopic,
+    /// The position that was read from.
+    position: Option<StorePosition>,
+    reason: String,
+}
+
 #[derive(Serialize)]
 struct ReportBehindLine {
     known: StorePosition,
@@ -52,7 +60,7 @@
         drop(hold);
         if is_new {
             self.metrics.store_era.set(era.0.try_into().unwrap_or(i64::MAX));
-            let known = self.store_view.position(topic);
+            let known = self.store_view.read_position(topic);
             let line = EraLine { topic, era, known, is_trusted: is_proof };
             self.log.write(LineCategory::Change, "store-era", &line);
         }
@@ -68,6 +76,18 @@
         }
     }
 
+    /// Logs that the store refused a position of a topic.
+    pub(super) fn log_position_refused(
+        &self,
+        topic: StoreTopic,
+        position: Option<StorePosition>,
+        error: &StoreError,
+    ) {
+        self.metrics.count("position_refused");
+        let line = PositionRefusedLine { topic, position, reason: error.to_string() };
+        self.log.write(LineCategory::Change, "position-refused", &line);
+    }
+
     /// Counts a failed call to the store; logs the first failure of each reader.
     pub(crate) fn store_failed(&self, reader: &str, error: &StoreError) {
         self.metrics.count("store_failed");
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -34,12 +34,22 @@
         self.lock().replica.cursor()
     }
 
-    /// Forgets the position, so that the next read is a snapshot.
-    pub(crate) fn clear_cursor(&self) {
-        self.lock().replica.clear_cursor();
+    /// The position from which the store is read on; `None` if only a snapshot leads on.
+    pub(crate) fn read_position(&self) -> Option<StorePosition> {
+        self.lock().replica.read_position()
     }
 
-    /// Forgets a position of an earlier era than `era`, and ignores records of one.
+    /// Records that the store no longer has the records before `first`.
+    pub(crate) fn refuse_before(&self, first: StorePosition) {
+        self.lock().replica.refuse_before(first);
+    }
+
+    /// Records that the store does not know the position.
+    pub(crate) fn discard_position(&self) {
+        self.lock().replica.discard_position();
+    }
+
+    /// Records that the store is in `era` or a later one, and ignores records of earlier ones.
     pub(crate) fn enter_era(&self, era: StoreEra) {
         self.lock().replica.enter_era(era);
     }
@@ -140,23 +150,31 @@
         }
     }
 
-    /// The position up to which a topic was read.
-    pub(crate) fn position(&self, topic: StoreTopic) -> Option<StorePosition> {
+    /// The position from which a topic is read on; `None` if only a snapshot leads on.
+    pub(crate) fn read_position(&self, topic: StoreTopic) -> Option<StorePosition> {
+        match topic {
+            StoreTopic::Configuration => self.configuration.read_position(),
+            StoreTopic::Directory => self.directory.read_position(),
+        }
+    }
+
+    /// Records that the store no longer has the records of a topic before `first`.
+    pub(crate) fn refuse_before(&self, topic: StoreTopic, first: StorePosition) {
         match topic {
-            StoreTopic::Configuration => self.configuration.position(),
-            StoreTopic::Directory => self.directory.cursor(),
+            StoreTopic::Configuration => self.configuration.refuse_before(first),
+            StoreTopic::Directory => self.directory.refuse_before(first),
         }
     }
 
-    /// Forgets the position, so that the next read is a snapshot.
-    pub(crate) fn clear_position(&self, topic: StoreTopic) {
+    /// Records that the store does not know the position of a topic.
+    pub(crate) fn discard_position(&self, topic: StoreTopic) {
         match topic {
-            StoreTopic::Configuration => self.configuration.clear_position(),
-            StoreTopic::Directory => self.directory.clear_cursor(),
+            StoreTopic::Configuration => self.configuration.discard_position(),
+            StoreTopic::Directory => self.directory.discard_position(),
         }
     }
 
-    /// Forgets positions of earlier eras than `era`.
+    /// Records that the store is in `era` or a later one.
     pub(crate) fn enter_era(&self, era: StoreEra) {
         self.configuration.enter_era(era);
         self.directory.enter_era(era);
--- a/src/sidecar/process/topic_replica.rs
+++ b/src/sidecar/process/topic_replica.rs
@@ -6,6 +6,7 @@
 
 use super::keyed_store::{StoreRead, StoreRecord};
 use crate::policy::store_position::{StoreEra, StorePosition};
+use crate::policy::topic_position::TopicPosition;
 
 /// Removed keys that are remembered, so that other daemons can be told of the removal.
 const REMOVED_KEYS_MAX: usize = 1_024;
@@ -36,9 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TopicReplica {
     records: BTreeMap<String, StoreRecord>,
-    cursor: Option<StorePosition>,
-    /// The newest era seen.
-    era: StoreEra,
+    position: TopicPosition,
     /// Removals before this position may be unknown.
     removals_from: StorePosition,
     removed: usize,
@@ -47,13 +46,18 @@
 impl TopicReplica {
     /// The position up to which the topic is known; `None` before the first read.
     pub fn cursor(&self) -> Option<StorePosition> {
-        self.cursor
+        self.position.reached()
+    }
+
+    /// The position from which the store is read on; `None` if only a snapshot leads on.
+    pub fn read_position(&self) -> Option<StorePosition> {
+        self.position.read_position()
     }
 
     /// The changes since `cursor`, or all records if that position is unknown here or of an earlier
     /// era; `None` if this replica is not ahead of it.
     pub fn update_since(&self, cursor: Option<StorePosition>) -> Option<TopicUpdate> {
-        let end = self.cursor?;
+        let end = self.cursor()?;
         match cursor {
             Some(known) if known >= end => None,
             Some(known) if known.covers(self.removals_from) => Some(TopicUpdate {
@@ -86,20 +90,8 @@
     /// assert_eq!(replica.cursor(), Some(position(7)));
     /// ```
     pub fn apply_update(&mut self, update: TopicUpdate) -> Option<TopicChange> {
-        let TopicUpdate { from, records, cursor } = update;
-        if cursor.era < self.era || self.cursor.is_some_and(|known| cursor <= known) {
-            return None;
-        }
-        let is_snapshot = from.is_none();
-        match (from, self.cursor) {
-            (None, _) => self.clear(cursor),
-            (Some(from), Some(known)) if known.covers(from) && cursor.covers(known) => {}
-            (Some(_), _) => return None,
-        }
-        let records = self.insert(records);
-        self.cursor = Some(cursor);
-        self.era = cursor.era;
-        Some(TopicChange { is_snapshot, records, era: cursor.era })
+        let is_accepted = self.continues(&update) && self.position.reach_by_report(update.cursor);
+        is_accepted.then(|| self.take(update))
     }
 
     /// Applies a read of the store from position `from`, or of a snapshot, and returns what changed.
@@ -108,20 +100,42 @@
         from: Option<StorePosition>,
         read: StoreRead,
     ) -> Option<TopicChange> {
-        self.apply_update(TopicUpdate { from, records: read.records, cursor: read.cursor })
+        let update = TopicUpdate { from, records: read.records, cursor: read.cursor };
+        let is_accepted = self.continues(&update) && self.position.reach_by_read(update.cursor);
+        is_accepted.then(|| self.take(update))
+    }
+
+    /// Records that the store no longer has the records before `first`. What is known is kept.
+    pub fn refuse_before(&mut self, first: StorePosition) {
+        self.position.refuse_before(first);
     }
 
-    /// Forgets the position, so that the next read is a snapshot.
-    pub fn clear_cursor(&mut self) {
-        self.cursor = None;
+    /// Records that the store does not know the position. Only a read of the store leads on.
+    pub fn discard_position(&mut self) {
+        self.position.discard();
     }
 
-    /// Forgets a position of an earlier era than `era`, and ignores updates of one from now on.
+    /// Records that the store is in `era` or a later one; updates of earlier ones are ignored from
+    /// now on.
     pub fn enter_era(&mut self, era: StoreEra) {
-        if era > self.era {
-            self.era = era;
-            self.cursor = None;
+        self.position.enter_era(era);
+    }
+
+    /// Whether an update leaves no gap after what is known. Only a snapshot leads to another era.
+    fn continues(&self, update: &TopicUpdate) -> bool {
+        let Some(from) = update.from else {
+            return true;
+        };
+        self.cursor().is_some_and(|known| known.covers(from) && update.cursor.covers(known))
+    }
+
+    fn take(&mut self, update: TopicUpdate) -> TopicChange {
+        let TopicUpdate { from, records, cursor } = update;
+        let is_snapshot = from.is_none();
+        if is_snapshot {
+            self.clear(cursor);
         }
+        TopicChange { is_snapshot, records: self.insert(records), era: cursor.era }
     }
 
     fn clear(&mut self, cursor: StorePosition) {
--- a/tests/suite/platform/store.rs
+++ b/tests/suite/platform/store.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use hyper::StatusCode;
 use lentilway::platform::PlatformStore;
 use lentilway::policy::store_position::{StoreEra, StorePosition};
 use lentilway::sidecar::process::keyed_store::{KeyedStore, StoreError, StoreRead, StoreTopic};
@@ -85,6 +86,10 @@
 
 /// A store that answers every call with these bytes.
 async fn start_answering(body: Vec<u8>) -> PlatformStore {
+    start_answering_with(StatusCode::OK, body).await
+}
+
+async fn start_answering_with(status: StatusCode, body: Vec<u8>) -> PlatformStore {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
     let client = PlatformStore::new(listener.local_addr().unwrap());
     let body: Arc<[u8]> = body.into();
@@ -92,7 +97,8 @@
         loop {
             let (mut stream, _) = listener.accept().await.unwrap();
             let length = body.len();
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close");
+            let head =
+                format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close");
             let mut received = [0; 4_096];
             let _ = stream.read(&mut received).await.unwrap();
             stream.write_all(format!("{head}\r\n\r\n").as_bytes()).await.unwrap();
@@ -190,7 +196,29 @@
     body.truncate(body.len() - 1);
     let store = start_answering(body).await;
     let read = store.changes(DIRECTORY, StorePosition::default(), NO_WAIT).await;
-    expect_that!(read, err(eq(&StoreError::Expired)));
+    expect_that!(read, err(eq(&StoreError::Expired { first: position(0, 2) })));
+}
+
+/// What a read is told of a position that is no longer one of the topic.
+#[gtest]
+#[tokio::test]
+async fn changes_refused_position() {
+    let offsets = |end: u64, first: u64| [end.to_be_bytes(), first.to_be_bytes()].concat();
+    let expired = |offset| StoreError::Expired { first: position(0, offset) };
+    let gone = |body: &str| (StatusCode::GONE, body.as_bytes().to_vec());
+    let cases = [
+        (gone(r#"{"first_offset": 9}"#), expired(9)),
+        (gone(r#"{"first_offset": 2}"#), StoreError::UnknownPosition),
+        (gone(r#"{"first_offset": -1}"#), StoreError::UnknownPosition),
+        (gone("no object"), StoreError::UnknownPosition),
+        ((StatusCode::OK, offsets(9, 7)), expired(7)),
+        ((StatusCode::OK, offsets(3, 0)), StoreError::UnknownPosition),
+    ];
+    for ((status, body), error) in cases {
+        let store = start_answering_with(status, body).await;
+        let read = store.changes(DIRECTORY, position(0, 5), NO_WAIT).await;
+        expect_that!(read, err(eq(&error)));
+    }
 }
 
 /// A store that answers without end, in a head or in a body, costs a bounded part of the answer.
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -17,3 +17,4 @@
 mod shed;
 mod stop_schedule;
 mod tokens;
+mod topic_position;
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -3,6 +3,7 @@
 mod bounded_connections;
 mod copied_refusals;
 mod crashes;
+mod dropped_positions;
 mod endless;
 mod exchange_orders;
 mod fleet;
--- /dev/null
+++ b/tests/suite/sidecar/dropped_positions.rs
@@ -0,0 +1,96 @@
+//! A store that drops records while it is away, so that no daemon can read on from where it stands.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lentilway::sidecar::process::keyed_store::StoreTopic;
+use tokio::time::{Instant, sleep};
+
+use super::fleet::{TestDaemon, TestFleet, WITHDRAWN_KEY, config};
+
+/// Time after an outage of the store in which daemons regain it.
+const CATCH_UP: Duration = Duration::from_secs(4);
+/// After this time the links are up and the initial reads are done.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Longer than the freshness proofs that daemons hold for each topic.
+const CONFIG_OUTAGE: Duration = Duration::from_millis(4_500);
+const DIRECTORY_OUTAGE: Duration = Duration::from_secs(8);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Calls to the store by each daemon in the time to catch up, for each of two topics: up to four retries
+/// of failed reads, a refused one, its snapshot, and two reads that wait for changes.
+const CALLS_MAX: usize = 16;
+
+async fn start_all(fleet: &TestFleet, names: &[&str]) -> Vec<TestDaemon> {
+    let mut daemons = Vec::new();
+    for name in names {
+        daemons.push(fleet.start(name, "stock").await);
+    }
+    for daemon in &daemons {
+        fleet.until(daemon, "/read/1", WITHDRAWN_KEY, 200).await;
+    }
+    sleep(SETTLE_TIME).await;
+    daemons
+}
+
+/// The daemons at which the withdrawn key is not refused as such.
+async fn behind(fleet: &TestFleet, daemons: &[TestDaemon]) -> usize {
+    let mut behind = 0;
+    for daemon in daemons {
+        let status = fleet.send(daemon, "/read/1", WITHDRAWN_KEY).await.status;
+        behind += usize::from(status != 401);
+    }
+    behind
+}
+
+/// Checks that a version written while the store was away, with all before it dropped, is in force at
+/// all daemons in time.
+async fn check_config_in_force(fleet: TestFleet, names: &[&str]) {
+    let daemons = start_all(&fleet, names).await;
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(2, true)));
+    sleep(SETTLE_TIME).await;
+    fleet.store.set_down(true);
+    sleep(CONFIG_OUTAGE).await;
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(3, false)));
+    fleet.store.drop_history(StoreTopic::Configuration);
+    fleet.store.set_down(false);
+    let returned = Instant::now();
+    let calls = fleet.store.calls();
+    while behind(&fleet, &daemons).await > 0 && returned.elapsed() < CATCH_UP {
+        sleep(POLL_INTERVAL).await;
+    }
+    expect_that!(behind(&fleet, &daemons).await, eq(0));
+    sleep(CATCH_UP.saturating_sub(returned.elapsed())).await;
+    expect_that!(fleet.store.calls() - calls, le(CALLS_MAX * names.len()));
+}
+
+/// Review case 6: daemons gave each other a position back that the store had refused, and none read the
+/// configuration again.
+#[gtest]
+#[tokio::test]
+async fn config_in_force_history_dropped_in_outage() {
+    check_config_in_force(TestFleet::with_zones(), &["one", "two", "three", "four"]).await;
+}
+
+/// The same with one reader for all daemons.
+#[gtest]
+#[tokio::test]
+async fn config_in_force_history_dropped_one_reader() {
+    check_config_in_force(TestFleet::new(), &["one", "two", "three", "four"]).await;
+}
+
+/// The same with the directory: no daemon goes on to ask for what was dropped.
+#[gtest]
+#[tokio::test]
+async fn directory_read_history_dropped_in_outage() {
+    let fleet = TestFleet::with_zones();
+    let _daemons = start_all(&fleet, &["one", "two", "three", "four"]).await;
+    fleet.store.set_down(true);
+    sleep(DIRECTORY_OUTAGE).await;
+    fleet.store.write(StoreTopic::Directory, "gone", None);
+    fleet.store.drop_history(StoreTopic::Directory);
+    fleet.store.set_down(false);
+    sleep(CATCH_UP).await;
+    let expired = fleet.store.expired();
+    sleep(CATCH_UP).await;
+    expect_that!(fleet.store.expired() - expired, eq(0));
+}
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of sidecar daemons on loopback, in one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -55,6 +55,10 @@
     is_down: Mutex<bool>,
     /// How often it came back from a copy.
     era: AtomicU64,
+    /// The first retained offset of each topic, if records were dropped.
+    first_offsets: Mutex<HashMap<StoreTopic, u64>>,
+    /// Reads of records that were dropped.
+    expired: AtomicUsize,
 }
 
 impl MemoryStore {
@@ -85,6 +89,26 @@
         self.written.notify_waiters();
     }
 
+    /// The calls of all kinds.
+    pub(super) fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    /// Drops all records of a topic except the newest one of each key.
+    pub(super) fn drop_history(&self, topic: StoreTopic) {
+        let end = self.count(topic) as u64;
+        self.first_offsets.lock().unwrap().insert(topic, end);
+    }
+
+    /// The reads of records that were dropped.
+    pub(super) fn expired(&self) -> usize {
+        self.expired.load(Ordering::SeqCst)
+    }
+
+    fn first_offset(&self, topic: StoreTopic) -> u64 {
+        self.first_offsets.lock().unwrap().get(&topic).copied().unwrap_or_default()
+    }
+
     /// The number of records of a topic.
     pub(super) fn count(&self, topic: StoreTopic) -> usize {
         self.read(topic, 0).records.len()
@@ -155,6 +179,11 @@
             if read.cursor.era != cursor.era {
                 return Err(StoreError::Restored { era: read.cursor.era });
             }
+            if cursor.offset < self.first_offset(topic) {
+                self.expired.fetch_add(1, Ordering::SeqCst);
+                let first = StorePosition { offset: self.first_offset(topic), ..cursor };
+                return Err(StoreError::Expired { first });
+            }
             if read.cursor != cursor || Instant::now() >= end {
                 return Ok(read);
             }
