The stand-in of the store can drop records

It never did, so that no test over HTTP met a refused position. A read from before the first retained offset is answered 410 with it; a copy keeps the first offset within its length. platform::store::changes_after_history_dropped shows what the client makes of it.

--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -54,6 +54,8 @@
 #[derive(Debug, Default)]
 struct StoreState {
     topics: Mutex<HashMap<String, Vec<StoredRecord>>>,
+    /// The first retained offset of each topic, if records were dropped.
+    first_offsets: Mutex<HashMap<String, usize>>,
     /// How often the store came back from a copy.
     restores: AtomicU64,
     mode: Mutex<StoreMode>,
@@ -105,11 +107,24 @@
         for records in topics.values_mut() {
             records.retain(|stored| stored.written.elapsed() >= age);
         }
+        let mut first_offsets = self.state.first_offsets.lock().expect("lock not poisoned");
+        for (topic, first) in first_offsets.iter_mut() {
+            *first = (*first).min(topics.get(topic).map_or(0, Vec::len));
+        }
+        drop(first_offsets);
         self.state.restores.fetch_add(1, Ordering::SeqCst);
         drop(topics);
         self.state.appended.notify_waiters();
     }
 
+    /// Drops all records of a topic except the newest one of each key.
+    pub fn drop_history(&self, topic: &str) {
+        let topics = self.state.topics.lock().expect("lock not poisoned");
+        let end = topics.get(topic).map_or(0, Vec::len);
+        let mut first_offsets = self.state.first_offsets.lock().expect("lock not poisoned");
+        first_offsets.insert(topic.to_owned(), end);
+    }
+
     /// Advertises `link` to other daemons as the address of the daemon `name`.
     pub fn advertise_link(&self, name: &str, link: SocketAddr) {
         self.state.links.lock().expect("lock not poisoned").insert(name.to_owned(), link);
@@ -156,14 +171,20 @@
         json!({"items": items, "has_more": false, "end_offset": records.len()})
     }
 
+    fn first_offset(&self, topic: &str) -> usize {
+        let first_offsets = self.first_offsets.lock().expect("lock not poisoned");
+        first_offsets.get(topic).copied().unwrap_or_default()
+    }
+
     /// Encodes the end offset, the first offset and the records from `from`, and whether there are
-    /// any; `None` if the topic ends before `from`.
+    /// any; `None` if those from `from` on were dropped or the topic ends before it.
     fn read(&self, topic: &str, from: usize) -> Option<(Vec<u8>, bool)> {
         let topics = self.topics.lock().expect("lock not poisoned");
         let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
-        let rest = records.get(from..)?;
+        let first = self.first_offset(topic);
+        let rest = records.get(from..).filter(|_| from >= first)?;
         let mut body = (records.len() as u64).to_be_bytes().to_vec();
-        body.extend_from_slice(&0_u64.to_be_bytes());
+        body.extend_from_slice(&(first as u64).to_be_bytes());
         for stored in rest {
             let (key, value) = &stored.record;
             let length = (1 + key.len() + value.len()) as u32;
@@ -262,7 +283,7 @@
             return ServerReply::Reset;
         }
         let Some((body, has_records)) = state.read(topic, from) else {
-            let first = json!({"first_offset": 0});
+            let first = json!({"first_offset": state.first_offset(topic)});
             return ServerReply::Send(json_response(StatusCode::GONE, &first));
         };
         if has_records || Instant::now() >= end {
--- a/tests/suite/platform/store.rs
+++ b/tests/suite/platform/store.rs
@@ -199,6 +199,28 @@
     expect_that!(read, err(eq(&StoreError::Expired { first: position(0, 2) })));
 }
 
+/// Records that were dropped are not read; the newest one of each key is.
+#[gtest]
+#[tokio::test]
+async fn changes_after_history_dropped() {
+    let (server, client) = start().await;
+    for value in [b"1", b"2"] {
+        client.put(DIRECTORY, "one", Some(value)).await.unwrap();
+    }
+    server.drop_history("keyed.daemons");
+    let expired = StoreError::Expired { first: position(1, 2) };
+    let read = client.changes(DIRECTORY, position(1, 1), NO_WAIT).await;
+    expect_that!(read, err(eq(&expired)));
+    let snapshot = client.snapshot(DIRECTORY).await.unwrap();
+    expect_that!(snapshot.cursor, eq(position(1, 2)));
+    expect_that!(snapshot.records, len(eq(1)));
+    let read = client.changes(DIRECTORY, snapshot.cursor, NO_WAIT).await.unwrap();
+    expect_that!(read.records, is_empty());
+    server.restore(EMPTY_COPY_AGE);
+    let read = client.changes(DIRECTORY, position(2, 0), NO_WAIT).await;
+    expect_that!(read.map(|read| read.cursor), ok(eq(&position(2, 0))));
+}
+
 /// What a read is told of a position that is no longer one of the topic.
 #[gtest]
 #[tokio::test]
