Tests of stops count arrivals from before the request is sent

What was seen: stop_late_call_of_run_passes failed in 2 of 12 runs beside load, and in 2 of 5 on; stop_waits_for_run_of_peer once each in two suite runs: a wait of 20 s ended. Cause: the tests sent the request and then read the count that was to rise; if it arrived first, nothing rose any more. A fault of the tests, not of the daemon. Change: the count is read first, in four tests; no check or bound changes.

--- a/tests/suite/sidecar/stops.rs
+++ b/tests/suite/sidecar/stops.rs
@@ -45,6 +45,7 @@
     let entry = Arc::new(fleet.start("two", "prices").await);
     fleet.until(&entry, "/write/1", KEY, 200).await;
     stopping.backend.set_behaviour(BackendBehaviour::Answers(RUN_TIME));
+    let arrivals = stopping.backend.arrivals();
     let mut callers = tokio::task::JoinSet::new();
     for _ in 0..8 {
         let (fleet, entry) = (fleet.clone(), entry.clone());
@@ -56,7 +57,6 @@
             statuses
         });
     }
-    let arrivals = stopping.backend.arrivals();
     wait_until(|| stopping.backend.arrivals() > arrivals).await;
     stopping.daemon.stop().await;
     let statuses: Vec<u16> = callers.join_all().await.concat();
@@ -203,8 +203,8 @@
 async fn stop_late_call_of_run_passes() {
     let (fleet, stopping, entry, _other) = start_stopping().await;
     stopping.backend.set_behaviour(BackendBehaviour::Answers(Duration::from_millis(4_000)));
-    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "parent", GRACE));
     let arrivals = stopping.backend.arrivals();
+    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "parent", GRACE));
     wait_until(|| stopping.backend.arrivals() > arrivals).await;
     let call = fleet.try_request(&stopping, "/open/1", KEY, "parent.1", LONG_WORK);
     let call = tokio::spawn(async move {
@@ -223,8 +223,8 @@
 async fn stop_waits_for_run_of_peer() {
     let (fleet, stopping, entry, _other) = start_stopping().await;
     stopping.backend.set_behaviour(BackendBehaviour::Answers(Duration::from_millis(4_800)));
-    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "run", GRACE));
     let arrivals = stopping.backend.arrivals();
+    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "run", GRACE));
     wait_until(|| stopping.backend.arrivals() > arrivals).await;
     stopping.daemon.stop().await;
     let answer = run.await.expect("the task ends");
@@ -237,8 +237,8 @@
 async fn request_running_route_removed() {
     let (fleet, stopping, entry, _other) = start_stopping().await;
     stopping.backend.set_behaviour(BackendBehaviour::Answers(Duration::from_millis(1_000)));
-    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "run", GRACE));
     let arrivals = stopping.backend.arrivals();
+    let run = tokio::spawn(fleet.try_request(&entry, "/solo/1", KEY, "run", GRACE));
     wait_until(|| stopping.backend.arrivals() > arrivals).await;
     fleet.store.write(StoreTopic::Configuration, "config", Some(config(3, true)));
     fleet.until(&entry, "/solo/1", KEY, 404).await;
