--- a/tests/suite/sidecar/merged_answers.rs
+++ b/tests/suite/sidecar/merged_answers.rs
@@ -163,3 +163,46 @@
     let answer = fleet.send(&daemon, "/write/cut", KEY).await;
     expect_that!(answer.status, eq(502));
 }
+
+/// A refusal that quotes a status line may continue with the answer to a request that ran, whatever
+/// the first answer on the connection quoted, and also as the first one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_cut_where_first_answer_quotes() {
+    let (listener, address) = listen().await;
+    let runs = Arc::new(AtomicUsize::new(0));
+    let run_count = runs.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let runs = run_count.clone();
+            tokio::spawn(async move {
+                let mut is_first = true;
+                // An error means that the daemon has closed the connection.
+                while let Ok(head) = read_head(&mut stream).await {
+                    let mut answer = whole_answer(request_id(&head));
+                    if head.contains("/write/cut") {
+                        runs.fetch_add(1, Ordering::SeqCst);
+                        let refusal =
+                            "HTTP/1.1 503 Full\r\nx-lentilway-not-executed: 1\r\ndate: Mon";
+                        answer = format!("{refusal}{answer}");
+                    } else if is_first {
+                        let quote = "\r\nx-origin-status: HTTP/1.1 200 OK\r\n";
+                        answer = answer.replacen("\r\n", quote, 1);
+                    }
+                    is_first = false;
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    let fleet = TestFleet::new();
+    let daemon = fleet.start_beside("one", "stock", address).await;
+    fleet.until(&daemon, "/read/1", KEY, 200).await;
+    // On the kept connection, and on a new one after an answer too many.
+    for kind in ["kept", "new"] {
+        let answer = fleet.send(&daemon, "/write/cut", KEY).await;
+        expect_that!(answer.status, eq(502), "{kind}");
+        expect_that!(runs.swap(0, Ordering::SeqCst), eq(1), "{kind}");
+    }
+}
