The exchange with a backend server in shorter steps

Change: what identifies an exchange is one value, the answer is taken in a function of its own. No change of decisions.

--- a/src/sidecar/connection/backend_pool.rs
+++ b/src/sidecar/connection/backend_pool.rs
@@ -41,6 +41,10 @@
 /// read ahead.
 const FRAMING_BYTES_MAX: usize = 192 * 1024;
 
+/// The outcome of a request that could not be sent.
+const UNREACHABLE: CallOutcome =
+    CallOutcome::NotRun { cause: NotRunCause::Unreachable, capacity_in_millis: 0 };
+
 /// The address and incarnation of the backend server for an exchange.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendTarget {
@@ -63,6 +67,16 @@
     fn observe_end(&self, target: &BackendTarget);
 }
 
+/// A request for the backend server, without its contents.
+#[derive(Clone, Copy)]
+pub(crate) struct BackendExchange<'a> {
+    pub(crate) target: &'a BackendTarget,
+    pub(crate) context: &'a CallContext,
+    /// Whether the request must not run twice.
+    pub(crate) runs_once: bool,
+    pub(crate) observer: &'a dyn ExchangeObserver,
+}
+
 /// What came back for a request on its connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ExchangeAnswer<'a> {
@@ -131,20 +145,18 @@
     /// Sends a request and receives the complete answer. Dropping the future closes the connection.
     pub(crate) async fn exchange(
         &self,
-        target: &BackendTarget,
-        context: &CallContext,
+        exchange: BackendExchange<'_>,
         request: &ForwardRequest,
         remaining: Duration,
-        runs_once: bool,
-        observer: &dyn ExchangeObserver,
     ) -> CallOutcome {
+        let BackendExchange { target, context, observer, .. } = exchange;
         let Some(outgoing) = self.build_request(target, context, request, remaining) else {
             return CallOutcome::NotRun {
                 cause: NotRunCause::BackendRefused,
                 capacity_in_millis: 0,
             };
         };
-        match self.send(target, context, outgoing, runs_once, observer).await {
+        match self.send(exchange, outgoing).await {
             CallOutcome::Unknown(UnknownCause::Broken) if self.has_ended(target).await => {
                 observer.observe_end(target);
                 CallOutcome::Unknown(UnknownCause::ServerEnded)
@@ -167,12 +179,10 @@
 
     async fn send(
         &self,
-        target: &BackendTarget,
-        context: &CallContext,
+        exchange: BackendExchange<'_>,
         mut outgoing: Request<Full<Bytes>>,
-        runs_once: bool,
-        observer: &dyn ExchangeObserver,
     ) -> CallOutcome {
+        let BackendExchange { target, context, runs_once, observer } = exchange;
         loop {
             let is_alone = runs_once && self.is_doubtful();
             let pooled = match is_alone {
@@ -180,46 +190,30 @@
                 false => self.take_idle(target.address, &context.request_id, runs_once),
             };
             let is_pooled = pooled.is_some();
-            let connection = match pooled {
-                Some(connection) => connection,
-                None => match self.connect_for(target.address, &context.request_id).await {
-                    Ok(connection) => connection,
-                    Err(error) => {
-                        if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                            observer.observe_end(target);
-                        }
-                        let cause = NotRunCause::Unreachable;
-                        return CallOutcome::NotRun { cause, capacity_in_millis: 0 };
+            let opened = match pooled {
+                Some(connection) => Ok(connection),
+                None => self.connect_for(target.address, &context.request_id).await,
+            };
+            let mut connection = match opened {
+                Ok(connection) => connection,
+                Err(error) => {
+                    if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                        observer.observe_end(target);
                     }
-                },
+                    return UNREACHABLE;
+                }
             };
-            let mut connection = connection;
             connection.meter.allow(HEAD_BYTES_MAX);
             connection.meter.begin_head();
-            observer.observe_send();
             connection.history.begin(&context.request_id);
             connection.is_kept = !is_alone;
+            observer.observe_send();
             match connection.sender.try_send_request(outgoing).await {
-                Ok(answer) => {
-                    let origin = self.origin(&mut connection, context, &answer);
-                    let head = Some((answer.status(), answer.headers(), origin));
-                    observer.observe_answer(context, &seen_on(&connection, context, head));
-                    match origin.is_own() {
-                        true => observer.observe_head(target, answer.headers()),
-                        false => self.note_surplus(),
-                    }
-                    // No later answer without an id could be told from a copy of this one.
-                    connection.is_kept &= origin != AnswerOrigin::First;
-                    let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
-                    return self.finish_exchange(connection, answer, verdict).await;
-                }
+                Ok(answer) => return self.take_answer(exchange, connection, answer).await,
                 Err(mut error) => match error.take_message() {
                     // The pooled connection was closed before anything was written.
                     Some(unsent) if is_pooled => outgoing = unsent,
-                    Some(_) => {
-                        let cause = NotRunCause::Unreachable;
-                        return CallOutcome::NotRun { cause, capacity_in_millis: 0 };
-                    }
+                    Some(_) => return UNREACHABLE,
                     None => {
                         observer.observe_answer(context, &seen_on(&connection, context, None));
                         return self.give_up(&connection, UnknownCause::Broken);
@@ -229,6 +223,27 @@
         }
     }
 
+    /// Decides what an answer is taken for, and receives its body.
+    async fn take_answer(
+        &self,
+        exchange: BackendExchange<'_>,
+        mut connection: BackendConnection,
+        answer: Response<hyper::body::Incoming>,
+    ) -> CallOutcome {
+        let BackendExchange { target, context, runs_once, observer } = exchange;
+        let origin = self.origin(&mut connection, context, &answer);
+        let head = Some((answer.status(), answer.headers(), origin));
+        observer.observe_answer(context, &seen_on(&connection, context, head));
+        match origin.is_own() {
+            true => observer.observe_head(target, answer.headers()),
+            false => self.note_surplus(),
+        }
+        // No later answer without an id could be told from a copy of this one.
+        connection.is_kept &= origin != AnswerOrigin::First;
+        let verdict = self.answer_traits(&answer, origin, runs_once).verdict();
+        self.finish_exchange(connection, answer, verdict).await
+    }
+
     async fn finish_exchange(
         &self,
         mut connection: BackendConnection,
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -23,7 +23,7 @@
 use crate::policy::root_admission::{CostList, SlotCost, add_cost};
 use crate::policy::run_registry::{RunKey, RunRegistry};
 use crate::sidecar::connection::backend_pool::{
-    BackendPool, BackendTarget, ExchangeAnswer, ExchangeObserver,
+    BackendExchange, BackendPool, BackendTarget, ExchangeAnswer, ExchangeObserver,
 };
 use crate::sidecar::request::context::{CallContext, CallOutcome, NotRunCause, UnknownCause};
 
@@ -342,14 +342,13 @@
         };
         let remaining = call.deadline.until(self.clock.now());
         let observer = RunObserver { record: &run.record, next: observer };
-        let exchange = self.pool.exchange(
-            &target,
-            &call.context,
-            &call.request,
-            remaining,
-            call.runs_once,
-            &observer,
-        );
+        let exchange = BackendExchange {
+            target: &target,
+            context: &call.context,
+            runs_once: call.runs_once,
+            observer: &observer,
+        };
+        let exchange = self.pool.exchange(exchange, &call.request, remaining);
         let outcome = timeout(remaining + ANSWER_MARGIN, exchange).await;
         let outcome = outcome.unwrap_or(CallOutcome::Unknown(UnknownCause::Expired));
         run.end = Some(run.end_of(&outcome));
