Tests of the sidecar daemon take ports that the system does not assign

Presumed cause: the test bound a port, freed it and started a daemon on it later, and took the port below one that was free without asking whether that was; another socket of the test could have got it.

Change: ports come in turn from 10,000 to 31,999, below those that the system assigns, on the loopback address of the test's process; pairs are two in a row. Ruled out: other test processes, whose address is another. No check changes.

--- a/tests/suite/sidecar/endless.rs
+++ b/tests/suite/sidecar/endless.rs
@@ -26,7 +26,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use super::fleet::{BackendBehaviour, KEY, TestBackend, TestFleet, free_address, own_loopback};
+use super::fleet::{
+    BackendBehaviour, KEY, TestBackend, TestFleet, free_address, free_port_pair, own_loopback,
+};
 use super::floods::{FloodingServer, SOCKET_BUFFER_BYTES, floods};
 
 /// Memory that the platform allows a process.
@@ -59,7 +61,7 @@
             inbound: free_address(),
             ready: free_address(),
             control: free_address(),
-            first_port: free_address().port() - 1,
+            first_port: free_port_pair(),
             store: store.address(),
         };
         let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -390,8 +390,11 @@
     next_id: AtomicUsize,
 }
 
-/// Addresses already assigned by this process.
-static ASSIGNED_ADDRESSES: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+/// Ports that the system does not assign by itself, so that none is taken between its choice and
+/// the start of a daemon.
+const TEST_PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// The next port to assign, from the begin of [`TEST_PORTS`].
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// A loopback address unique to this process, so that no test running in parallel binds the port
 /// between this call and the daemon's start.
@@ -402,16 +405,24 @@
 
 pub(super) fn free_address() -> SocketAddr {
     loop {
-        let listener = std::net::TcpListener::bind((own_loopback(), 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        let mut assigned = ASSIGNED_ADDRESSES.lock().unwrap();
-        if !assigned.contains(&address) {
-            assigned.push(address);
+        let step = NEXT_PORT.fetch_add(1, Ordering::SeqCst) % TEST_PORTS.len() as u16;
+        let address = SocketAddr::from((own_loopback(), TEST_PORTS.start + step));
+        if std::net::TcpListener::bind(address).is_ok() {
             return address;
         }
     }
 }
 
+/// The first of two ports in a row.
+pub(super) fn free_port_pair() -> u16 {
+    loop {
+        let (first, second) = (free_address().port(), free_address().port());
+        if first + 1 == second {
+            return first;
+        }
+    }
+}
+
 fn route(name: &str, kind: &str, service: &str, is_open: bool) -> serde_json::Value {
     json!({"entry_kind": "routes", "metadata": {"name": name}, "spec": {
         "hostname": HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_s": 3,
