--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -13,6 +13,7 @@
 use crate::clock::MilliTime;
 use crate::sidecar::process::peer_table::PeerEntry;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::store_view::PositionSource;
 
 pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(900);
 /// A link without messages for this long is closed: two keepalives are missing.
@@ -203,7 +204,9 @@
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
         PeerMessage::Records { number, configuration, directory } => {
-            shared.merge_reports(link.requested_at(number), configuration, directory);
+            let source = PositionSource::Daemon(peer.name.clone());
+            let requested = link.requested_at(number);
+            shared.merge_reports(&source, requested, configuration, directory);
         }
         PeerMessage::AskRecords { number, version, directory } => {
             link.send(shared.store_reports(Some(number), version, directory));
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -18,6 +18,7 @@
 use crate::sidecar::process::backend_watch::note_leaves;
 use crate::sidecar::process::notice_watch::learn_notice;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::store_view::PositionSource;
 
 /// Accepts links from other daemons until the task is aborted.
 pub(crate) async fn serve_peers(shared: Arc<SidecarShared>, listener: TcpListener) {
@@ -152,7 +153,8 @@
                     }
                     PeerMessage::Records { number, configuration, directory } => {
                         let requested = start_request.filter(|_| number == Some(START_REQUEST));
-                        shared.merge_reports(requested, configuration, directory);
+                        let source = PositionSource::LinkedDaemon;
+                        shared.merge_reports(&source, requested, configuration, directory);
                     }
                     PeerMessage::Notice(notice) => learn_notice(shared, notice),
                     PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -23,7 +23,7 @@
 use super::settings::SidecarSettings;
 use super::sidecar_metrics::SidecarMetrics;
 use super::store_report::DependencyLine;
-use super::store_view::StoreView;
+use super::store_view::{PositionSource, StoreView};
 use super::topic_replica::TopicChange;
 use super::wire_dialect::WireDialect;
 use crate::clock::{MilliClock, MilliTime};
@@ -226,6 +226,7 @@
         proven: MilliTime,
     ) -> bool {
         let era = read.cursor.era;
+        let position = self.store_view.read_position(topic);
         let is_proof = match topic {
             StoreTopic::Configuration => {
                 let is_rewrite = from.is_some() && has_config(self, &read.records);
@@ -239,25 +240,32 @@
                 is_proof
             }
         };
+        self.store_view.record_source(topic, position, &PositionSource::Store);
         self.note_directory_read();
         is_proof
     }
 
-    /// Merges the reports of another daemon; `requested` is the time of the request that they
+    /// Merges the reports of the other daemon `source`; `requested` is the time of the request that they
     /// answer.
     pub(crate) fn merge_reports(
         self: &Arc<Self>,
+        source: &PositionSource,
         requested: Option<MilliTime>,
         configuration: Option<ConfigReport>,
         directory: Option<TopicReport>,
     ) {
+        let view = &self.store_view;
         if let Some(report) = configuration {
+            let position = view.configuration.read_position();
             merge_config_report(self, requested, &report);
+            view.record_source(StoreTopic::Configuration, position, source);
         }
         if let Some(report) = directory {
             self.log_report_behind(&report);
+            let position = view.directory.read_position();
             let apply = |change| self.apply_directory_change(&change);
-            self.store_view.directory.merge_report(requested, report, apply);
+            view.directory.merge_report(requested, report, apply);
+            view.record_source(StoreTopic::Directory, position, source);
         }
         self.note_directory_read();
     }
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -18,6 +18,7 @@
 use crate::policy::read_schedule::{
     ReadSchedule, ReadStep, ReaderRank, first_read_delay, read_retry_delay, snapshot_delay,
 };
+use crate::policy::store_position::StorePosition;
 
 /// Other daemons that a daemon with a stale proof asks at a time.
 const STALE_ASK_COUNT: usize = 3;
@@ -168,10 +169,13 @@
             }
             Ok(read) => {
                 self.report_unreadable(read.unreadable);
-                let waited_whole = from == Some(read.cursor);
-                let proven = proven_at(requested, waited_whole, wait);
+                let end = read.cursor;
+                let proven = proven_at(requested, from == Some(end), wait);
                 let is_proof = self.shared.merge_read(self.topic, from, read, proven);
                 self.shared.store_answered(topic_name(self.topic));
+                if from.is_none() {
+                    self.end_snapshot(end, is_proof);
+                }
                 if is_proof {
                     self.failures = 0;
                 } else {
@@ -186,6 +190,11 @@
         }
     }
 
+    /// Records a snapshot up to `end`.
+    fn end_snapshot(&self, end: StorePosition, is_proof: bool) {
+        self.shared.log_snapshot_read(self.topic, end, is_proof);
+    }
+
     fn report_unreadable(&self, records: usize) {
         if records > 0 {
             let line = UnreadableRecordsLine { topic: topic_name(self.topic), records };
--- a/src/sidecar/process/store_report.rs
+++ b/src/sidecar/process/store_report.rs
@@ -6,6 +6,7 @@
 use super::directory::known_version;
 use super::keyed_store::{StoreError, StoreTopic};
 use super::sidecar_shared::SidecarShared;
+use super::store_view::PositionSource;
 use crate::clock::MilliTime;
 use crate::policy::restore_hold::EraEvidence;
 use crate::policy::store_position::{StoreEra, StorePosition};
@@ -32,9 +33,19 @@
     topic: StoreTopic,
     /// The position that was read from.
     position: Option<StorePosition>,
+    told_by: Option<PositionSource>,
     reason: String,
 }
 
+#[derive(Serialize)]
+struct SnapshotLine {
+    topic: StoreTopic,
+    end: StorePosition,
+    /// The position from which the store is read on.
+    position: Option<StorePosition>,
+    is_proof: bool,
+}
+
 #[derive(Serialize)]
 struct ReportBehindLine {
     known: StorePosition,
@@ -84,10 +95,19 @@
         error: &StoreError,
     ) {
         self.metrics.count("position_refused");
-        let line = PositionRefusedLine { topic, position, reason: error.to_string() };
+        let told_by = self.store_view.source(topic);
+        let line = PositionRefusedLine { topic, position, told_by, reason: error.to_string() };
         self.log.write(LineCategory::Change, "position-refused", &line);
     }
 
+    /// Logs a snapshot of a topic up to `end`.
+    pub(super) fn log_snapshot_read(&self, topic: StoreTopic, end: StorePosition, is_proof: bool) {
+        self.metrics.count("snapshot_read");
+        let position = self.store_view.read_position(topic);
+        let line = SnapshotLine { topic, end, position, is_proof };
+        self.log.write(LineCategory::Change, "snapshot-read", &line);
+    }
+
     /// Counts a failed call to the store; logs the first failure of each reader.
     pub(crate) fn store_failed(&self, reader: &str, error: &StoreError) {
         self.metrics.count("store_failed");
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -1,8 +1,10 @@
 //! This daemon's copies of the store's topics, with the freshness of each.
 
-use std::sync::{Mutex, MutexGuard};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use serde::Serialize;
 use tokio::sync::watch;
 
 use super::config_copy::ConfigCopy;
@@ -127,6 +129,17 @@
     }
 }
 
+/// Who told this daemon of a position.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum PositionSource {
+    Store,
+    /// The daemon of this name, to which this one has linked.
+    Daemon(Arc<str>),
+    /// A daemon that has linked to this one.
+    LinkedDaemon,
+}
+
 /// The copies of both topics.
 #[derive(Debug)]
 pub(crate) struct StoreView {
@@ -137,6 +150,8 @@
     changed: watch::Sender<u64>,
     /// Which reads of the store prove its state.
     pub(crate) hold: Mutex<RestoreHold>,
+    /// Who told of the position from which each topic is read on.
+    sources: Mutex<HashMap<StoreTopic, PositionSource>>,
 }
 
 impl StoreView {
@@ -147,6 +162,7 @@
             directory: TopicView::default(),
             changed: watch::Sender::new(0),
             hold: Mutex::default(),
+            sources: Mutex::default(),
         }
     }
 
@@ -158,6 +174,23 @@
         }
     }
 
+    /// Records who told of the position of a topic if it is another one than `before`.
+    pub(crate) fn record_source(
+        &self,
+        topic: StoreTopic,
+        before: Option<StorePosition>,
+        source: &PositionSource,
+    ) {
+        if self.read_position(topic) != before {
+            self.sources.lock().expect("lock not poisoned").insert(topic, source.clone());
+        }
+    }
+
+    /// Who told of the position of a topic.
+    pub(crate) fn source(&self, topic: StoreTopic) -> Option<PositionSource> {
+        self.sources.lock().expect("lock not poisoned").get(&topic).cloned()
+    }
+
     /// Records that the store no longer has the records of a topic before `first`.
     pub(crate) fn refuse_before(&self, topic: StoreTopic, first: StorePosition) {
         match topic {
