Refusals in a row are repeated at growing delays

Callers and the platform: a store that refuses each position without naming a first offset after it was read without a pause by every reader: 5,790 calls by four daemons in 4 s (bound 64). All calls are priced, and the others of the 2,000 reads a second that the store takes are refused.

Change: ReadBackoff in src/policy counts refusals apart from failures. A loss of history after changes were read again costs no delay.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,6 +18,7 @@
 pub mod link_subset;
 pub mod moving_average;
 pub mod placement;
+pub mod read_backoff;
 pub mod read_schedule;
 pub mod request_identity;
 pub mod request_pacer;
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -15,9 +15,8 @@
 use super::sidecar_shared::SidecarShared;
 use crate::clock::MilliTime;
 use crate::policy::freshness::proven_at;
-use crate::policy::read_schedule::{
-    ReadSchedule, ReadStep, ReaderRank, first_read_delay, read_retry_delay, snapshot_delay,
-};
+use crate::policy::read_backoff::ReadBackoff;
+use crate::policy::read_schedule::{ReadSchedule, ReadStep, ReaderRank, first_read_delay};
 use crate::policy::store_position::StorePosition;
 
 /// Other daemons that a daemon with a stale proof asks at a time.
@@ -41,7 +40,7 @@
     schedule: ReadSchedule,
     /// Since when no daemon that reads for this one was reachable.
     unled_since: MilliTime,
-    failures: u32,
+    backoff: ReadBackoff,
     /// No read before this time, after failed ones.
     retry_at: MilliTime,
 }
@@ -58,7 +57,7 @@
         topic,
         schedule,
         unled_since: now,
-        failures: 0,
+        backoff: ReadBackoff::default(),
         retry_at: MilliTime(0),
     };
     match topic {
@@ -109,7 +108,7 @@
         match self.schedule.next_step(age, rank, now.since(self.unled_since)) {
             ReadStep::Read { wait } if now >= self.retry_at => {
                 // After a failure, a read that does not wait proves the state soonest.
-                let wait = if self.failures > 0 { Duration::ZERO } else { wait };
+                let wait = if self.backoff.is_failing() { Duration::ZERO } else { wait };
                 self.read(wait).await;
                 if self.topic == StoreTopic::Directory {
                     // Many daemons start or stop together: the delay lets one read cover them.
@@ -176,10 +175,10 @@
                 if from.is_none() {
                     self.end_snapshot(end, is_proof);
                 }
-                if is_proof {
-                    self.failures = 0;
-                } else {
-                    self.retry_later();
+                match (is_proof, from) {
+                    (true, Some(_)) => self.backoff.record_changes(),
+                    (true, None) => self.backoff.record_snapshot(),
+                    (false, _) => self.retry_later(),
                 }
                 true
             }
@@ -203,9 +202,8 @@
     }
 
     fn retry_later(&mut self) {
-        self.failures += 1;
         let rank = self.shared.peers.reader_rank();
-        let delay = read_retry_delay(self.failures, rank, rand::random::<f64>());
+        let delay = self.backoff.record_failure(rank, rand::random::<f64>());
         self.retry_at = self.shared.clock.now() + delay;
     }
 
@@ -224,8 +222,7 @@
         let needs_snapshot = position.is_some() && view.read_position(self.topic).is_none();
         if needs_snapshot {
             let rank = self.shared.peers.reader_rank();
-            let delay = snapshot_delay(self.failures, rank, rand::random::<f64>());
-            self.failures = 1;
+            let delay = self.backoff.record_refusal(rank, rand::random::<f64>());
             self.retry_at = self.shared.clock.now() + delay;
         } else {
             self.retry_later();
--- a/tests/suite/sidecar/dropped_positions.rs
+++ b/tests/suite/sidecar/dropped_positions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use lentilway::sidecar::process::keyed_store::StoreTopic;
+use lentilway::sidecar::process::keyed_store::{StoreError, StoreTopic};
 use tokio::time::{Instant, sleep};
 
 use super::fleet::{TestDaemon, TestFleet, WITHDRAWN_KEY, config};
@@ -94,3 +94,33 @@
     sleep(CATCH_UP).await;
     expect_that!(fleet.store.expired() - expired, eq(0));
 }
+
+/// Starts four readers, lets the store refuse each read of changes of the configuration with `error`,
+/// and returns the fleet and the calls to the store in the time to catch up.
+async fn refused_fleet(error: StoreError) -> (TestFleet, Vec<TestDaemon>, usize) {
+    let fleet = TestFleet::with_zones();
+    let daemons = start_all(&fleet, &["one", "two", "three", "four"]).await;
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(2, true)));
+    sleep(SETTLE_TIME).await;
+    fleet.store.refuse_changes(StoreTopic::Configuration, Some(error));
+    let calls = fleet.store.calls();
+    sleep(CATCH_UP).await;
+    let calls = fleet.store.calls() - calls;
+    (fleet, daemons, calls)
+}
+
+/// Checks that a version written now is in force at all daemons in time.
+async fn check_next_version(fleet: &TestFleet, daemons: &[TestDaemon]) {
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(3, false)));
+    sleep(CATCH_UP).await;
+    expect_that!(behind(fleet, daemons).await, eq(0));
+}
+
+/// A store that refused each position without naming a first one was read thousands of times a second.
+#[gtest]
+#[tokio::test]
+async fn calls_bounded_refused_without_offset() {
+    let (fleet, daemons, calls) = refused_fleet(StoreError::UnknownPosition).await;
+    expect_that!(calls, le(CALLS_MAX * daemons.len()));
+    check_next_version(&fleet, &daemons).await;
+}
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -42,6 +42,8 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// How long the store takes for a snapshot.
+const SNAPSHOT_TIME: Duration = Duration::from_millis(4);
 
 /// An in-memory store that can be made unavailable.
 #[derive(Default)]
@@ -59,6 +61,10 @@
     first_offsets: Mutex<HashMap<StoreTopic, u64>>,
     /// Reads of records that were dropped.
     expired: AtomicUsize,
+    /// Snapshots of these topics end at this offset, behind what was written since.
+    snapshot_ends: Mutex<HashMap<StoreTopic, u64>>,
+    /// Reads of changes of these topics get this error.
+    refusals: Mutex<HashMap<StoreTopic, StoreError>>,
 }
 
 impl MemoryStore {
@@ -94,12 +100,43 @@
         self.calls.load(Ordering::SeqCst)
     }
 
+    /// The reads of changes.
+    pub(super) fn reads(&self) -> usize {
+        self.reads.load(Ordering::SeqCst)
+    }
+
     /// Drops all records of a topic except the newest one of each key.
     pub(super) fn drop_history(&self, topic: StoreTopic) {
         let end = self.count(topic) as u64;
         self.first_offsets.lock().unwrap().insert(topic, end);
     }
 
+    /// Snapshots of a topic lack what is written from now on, until `release_snapshots`.
+    pub(super) fn hold_snapshots(&self, topic: StoreTopic) {
+        let end = self.count(topic) as u64;
+        self.snapshot_ends.lock().unwrap().insert(topic, end);
+    }
+
+    /// Snapshots are complete again.
+    pub(super) fn release_snapshots(&self) {
+        self.snapshot_ends.lock().unwrap().clear();
+    }
+
+    /// Reads of changes of a topic fail with `error`, if given, from now on.
+    pub(super) fn refuse_changes(&self, topic: StoreTopic, error: Option<StoreError>) {
+        let mut refusals = self.refusals.lock().unwrap();
+        match error {
+            Some(error) => refusals.insert(topic, error),
+            None => refusals.remove(&topic),
+        };
+        drop(refusals);
+        self.written.notify_waiters();
+    }
+
+    fn check_changes(&self, topic: StoreTopic) -> Result<(), StoreError> {
+        self.refusals.lock().unwrap().get(&topic).cloned().map_or(Ok(()), Err)
+    }
+
     /// The reads of records that were dropped.
     pub(super) fn expired(&self) -> usize {
         self.expired.load(Ordering::SeqCst)
@@ -154,7 +191,12 @@
     async fn snapshot(&self, topic: StoreTopic) -> Result<StoreRead, StoreError> {
         self.count_call();
         self.check()?;
+        sleep(SNAPSHOT_TIME).await;
         let mut read = self.read(topic, 0);
+        if let Some(end) = self.snapshot_ends.lock().unwrap().get(&topic) {
+            read.cursor.offset = read.cursor.offset.min(*end);
+            read.records.retain(|record| record.position.offset < *end);
+        }
         let mut newest = BTreeMap::new();
         for record in read.records {
             newest.insert(record.key.clone(), record);
@@ -175,6 +217,7 @@
         loop {
             let written = self.written.notified();
             self.check()?;
+            self.check_changes(topic)?;
             let read = self.read(topic, cursor.offset);
             if read.cursor.era != cursor.era {
                 return Err(StoreError::Restored { era: read.cursor.era });
