--- a/src/policy/config_state.rs
+++ b/src/policy/config_state.rs
@@ -106,12 +106,18 @@
         self.position.discard();
     }
 
-    /// Merges a read of the store. One from an earlier era proves nothing.
+    /// Records that a snapshot requested after all refusals ends at `end`, before what they named.
+    pub fn resume_at(&mut self, end: StorePosition) {
+        self.position.resume_at(end);
+    }
+
+    /// Merges a read of the store. One that is older than what the store has said before proves
+    /// nothing.
     pub fn merge_read(&mut self, read: &ConfigRead) -> ConfigChange {
         self.enter_era(read.position.era);
         let is_newer = self.offer(read.found);
+        let is_current = !self.position.is_behind(read.position);
         self.position.reach_by_read(read.position);
-        let is_current = read.position.era == self.position.era();
         let proven = read.proven.filter(|_| is_current && self.version >= read.floor);
         if let Some(proven) = proven {
             self.freshness.prove(proven);
--- a/src/policy/topic_position.rs
+++ b/src/policy/topic_position.rs
@@ -2,6 +2,9 @@
 //!
 //! Handles a store that drops records or comes back from a copy while daemons tell each other what
 //! they have read: no report of another daemon brings back a position that the store has refused.
+//!
+//! Also handles a store whose answers contradict each other, such as a snapshot that ends before the
+//! first offset that a refusal has named: it proves nothing, and the next read tells which one counts.
 
 use super::store_position::{StoreEra, StorePosition};
 
@@ -66,6 +69,44 @@
         self.needs_read = true;
     }
 
+    /// Whether a read that ends at `position` contradicts what the store has said before: it may be
+    /// older than that.
+    ///
+    /// ```
+    /// use lentilway::policy::store_position::{StoreEra, StorePosition};
+    /// use lentilway::policy::topic_position::TopicPosition;
+    /// let at = |offset| StorePosition { era: StoreEra(1), offset };
+    /// let mut position = TopicPosition::default();
+    /// position.reach_by_read(at(4));
+    /// position.refuse_before(at(6));
+    /// assert!(position.is_behind(at(5)));
+    /// assert!(!position.is_behind(at(6)));
+    /// ```
+    pub fn is_behind(&self, position: StorePosition) -> bool {
+        position < self.readable_from
+    }
+
+    /// Records that a snapshot requested after all refusals ends at `end`, before the first offset that
+    /// they named. One of the answers is wrong: the next read of changes is tried again.
+    ///
+    /// ```
+    /// use lentilway::policy::store_position::{StoreEra, StorePosition};
+    /// use lentilway::policy::topic_position::TopicPosition;
+    /// let at = |offset| StorePosition { era: StoreEra(1), offset };
+    /// let mut position = TopicPosition::default();
+    /// position.reach_by_read(at(4));
+    /// position.refuse_before(at(900));
+    /// position.reach_by_read(at(5));
+    /// assert_eq!(position.read_position(), None);
+    /// position.resume_at(at(5));
+    /// assert_eq!(position.read_position(), Some(at(5)));
+    /// ```
+    pub fn resume_at(&mut self, end: StorePosition) {
+        if end.era == self.era() {
+            self.readable_from = self.readable_from.min(end);
+        }
+    }
+
     /// Records a read of the store that is complete up to `position`; whether the copy advances.
     pub fn reach_by_read(&mut self, position: StorePosition) -> bool {
         if position.era == self.era() {
--- a/src/sidecar/process/config_copy.rs
+++ b/src/sidecar/process/config_copy.rs
@@ -65,6 +65,11 @@
         self.lock().known.discard_position();
     }
 
+    /// Records that a snapshot requested after all refusals ends at `end`, before what they named.
+    pub(crate) fn resume_at(&self, end: StorePosition) {
+        self.lock().known.resume_at(end);
+    }
+
     /// Records that the store is in `era` or a later one.
     pub(crate) fn enter_era(&self, era: StoreEra) {
         self.lock().known.enter_era(era);
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -189,9 +189,13 @@
         }
     }
 
-    /// Records a snapshot up to `end`.
+    /// Records a snapshot up to `end`, which was requested after all refusals.
     fn end_snapshot(&self, end: StorePosition, is_proof: bool) {
         self.shared.log_snapshot_read(self.topic, end, is_proof);
+        let view = &self.shared.store_view;
+        if view.read_position(self.topic).is_none() {
+            view.resume_at(self.topic, end);
+        }
     }
 
     fn report_unreadable(&self, records: usize) {
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -51,6 +51,11 @@
         self.lock().replica.discard_position();
     }
 
+    /// Records that a snapshot requested after all refusals ends at `end`, before what they named.
+    pub(crate) fn resume_at(&self, end: StorePosition) {
+        self.lock().replica.resume_at(end);
+    }
+
     /// Records that the store is in `era` or a later one, and ignores records of earlier ones.
     pub(crate) fn enter_era(&self, era: StoreEra) {
         self.lock().replica.enter_era(era);
@@ -66,8 +71,8 @@
         self.lock().freshness.is_fresh(now, bound)
     }
 
-    /// Merges a read of the store that proves the state as of `proven`, unless it was answered before
-    /// the store came back from a copy; returns whether it does. `apply` receives what changed.
+    /// Merges a read of the store that proves the state as of `proven`, unless it is older than what the
+    /// store has said before; returns whether it does. `apply` receives what changed.
     /// `from` is the position that was read from, `None` for a snapshot.
     pub(crate) fn merge_read(
         &self,
@@ -78,13 +83,17 @@
     ) -> bool {
         let _order = self.apply_order.lock().expect("lock not poisoned");
         let cursor = read.cursor;
-        let change = self.lock().replica.apply_read(from, read);
+        let mut state = self.lock();
+        let is_behind = state.replica.is_behind(cursor);
+        let change = state.replica.apply_read(from, read);
+        drop(state);
         if let Some(change) = change {
             apply(change);
         }
         let mut state = self.lock();
         // Whatever was written before that time lies before the position now held.
-        let is_proof = state.replica.cursor().is_some_and(|known| known.covers(cursor));
+        let is_known = state.replica.cursor().is_some_and(|known| known.covers(cursor));
+        let is_proof = is_known && !is_behind;
         if is_proof {
             state.freshness.prove(proven);
         }
@@ -207,6 +216,15 @@
         }
     }
 
+    /// Records that a snapshot of a topic, requested after all refusals, ends at `end`, before what they
+    /// named.
+    pub(crate) fn resume_at(&self, topic: StoreTopic, end: StorePosition) {
+        match topic {
+            StoreTopic::Configuration => self.configuration.resume_at(end),
+            StoreTopic::Directory => self.directory.resume_at(end),
+        }
+    }
+
     /// Records that the store is in `era` or a later one.
     pub(crate) fn enter_era(&self, era: StoreEra) {
         self.configuration.enter_era(era);
--- a/src/sidecar/process/topic_replica.rs
+++ b/src/sidecar/process/topic_replica.rs
@@ -115,6 +115,17 @@
         self.position.discard();
     }
 
+    /// Records that a snapshot requested after all refusals ends at `end`, before what they named. What
+    /// is known is kept.
+    pub fn resume_at(&mut self, end: StorePosition) {
+        self.position.resume_at(end);
+    }
+
+    /// Whether a read that ends at `position` contradicts what the store has said before.
+    pub fn is_behind(&self, position: StorePosition) -> bool {
+        self.position.is_behind(position)
+    }
+
     /// Records that the store is in `era` or a later one; updates of earlier ones are ignored from
     /// now on.
     pub fn enter_era(&mut self, era: StoreEra) {
--- a/tests/suite/sidecar/dropped_positions.rs
+++ b/tests/suite/sidecar/dropped_positions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use lentilway::policy::store_position::{StoreEra, StorePosition};
 use lentilway::sidecar::process::keyed_store::{StoreError, StoreTopic};
 use tokio::time::{Instant, sleep};
 
@@ -15,6 +16,8 @@
 /// Longer than the freshness proofs that daemons hold for each topic.
 const CONFIG_OUTAGE: Duration = Duration::from_millis(4_500);
 const DIRECTORY_OUTAGE: Duration = Duration::from_secs(8);
+/// The withdrawal bound in the test settings.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Calls to the store by each daemon in the time to catch up, for each of two topics: up to four retries
 /// of failed reads, a refused one, its snapshot, and two reads that wait for changes.
@@ -124,3 +127,68 @@
     expect_that!(calls, le(CALLS_MAX * daemons.len()));
     check_next_version(&fleet, &daemons).await;
 }
+
+/// The same with a first offset past the end of the topic. The store contradicts itself, so that a key
+/// that was withdrawn meanwhile must not be served.
+#[gtest]
+#[tokio::test]
+async fn calls_bounded_first_offset_past_end() {
+    let first = StorePosition { era: StoreEra(0), offset: 1_000 };
+    let (fleet, daemons, calls) = refused_fleet(StoreError::Expired { first }).await;
+    expect_that!(calls, le(CALLS_MAX * daemons.len()));
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(3, false)));
+    sleep(CATCH_UP).await;
+    for daemon in &daemons {
+        let status = fleet.send(daemon, "/read/1", WITHDRAWN_KEY).await.status;
+        expect_that!(status, any![eq(401), eq(503)]);
+    }
+    fleet.store.refuse_changes(StoreTopic::Configuration, None);
+    sleep(CATCH_UP).await;
+    expect_that!(behind(&fleet, &daemons).await, eq(0));
+}
+
+/// One odd first offset, past the end of the topic, kept daemons from reading changes for good.
+#[gtest]
+#[tokio::test]
+async fn changes_read_after_odd_first_offset() {
+    let first = StorePosition { era: StoreEra(0), offset: 1_000 };
+    let (fleet, daemons, _) = refused_fleet(StoreError::Expired { first }).await;
+    fleet.store.refuse_changes(StoreTopic::Configuration, None);
+    sleep(CATCH_UP).await;
+    let (reads, calls) = (fleet.store.reads(), fleet.store.calls());
+    sleep(CATCH_UP).await;
+    // Reads of changes wait, and no snapshots are read beside them.
+    expect_that!(fleet.store.reads() - reads, eq(fleet.store.calls() - calls));
+    check_next_version(&fleet, &daemons).await;
+}
+
+/// Snapshots from before what the store retains were taken as proof that no newer version was written,
+/// and read thousands of times a second.
+#[gtest]
+#[tokio::test]
+async fn snapshot_behind_no_proof() {
+    let fleet = TestFleet::with_zones();
+    let daemons = start_all(&fleet, &["one", "two", "three", "four"]).await;
+    fleet.store.set_down(true);
+    sleep(CONFIG_OUTAGE).await;
+    fleet.store.hold_snapshots(StoreTopic::Configuration);
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(2, false)));
+    fleet.store.drop_history(StoreTopic::Configuration);
+    fleet.store.set_down(false);
+    let (calls, withdrawn) = (fleet.store.calls(), Instant::now());
+    let mut number = 10;
+    while withdrawn.elapsed() < WITHDRAWAL_BOUND + CATCH_UP {
+        let is_bound = withdrawn.elapsed() > WITHDRAWAL_BOUND;
+        for daemon in &daemons {
+            number += 1;
+            fleet.announce(daemon, number, false).await;
+            let status = fleet.send(daemon, "/read/1", WITHDRAWN_KEY).await.status;
+            expect_that!(is_bound && status == 200, is_false());
+        }
+        sleep(10 * POLL_INTERVAL).await;
+    }
+    expect_that!(fleet.store.calls() - calls, le(3 * CALLS_MAX * daemons.len()));
+    fleet.store.release_snapshots();
+    sleep(CATCH_UP).await;
+    expect_that!(behind(&fleet, &daemons).await, eq(0));
+}
