A discarded position is not taken from a report after the next read

What was wrong: a position that the store did not know was kept out until the store was read; after that read a report of the same era, sent before the discard, put it back, and the next read of changes was refused again.

Cause: discard kept no trace of the position.

--- a/src/policy/topic_position.rs
+++ b/src/policy/topic_position.rs
@@ -16,6 +16,8 @@
     readable_from: StorePosition,
     /// The store did not know the position, so that only a read of it counts.
     needs_read: bool,
+    /// A position of this era that the store did not know, until a read of the store reaches it.
+    unknown_from: Option<StorePosition>,
 }
 
 impl TopicPosition {
@@ -58,12 +60,17 @@
     pub fn refuse_before(&mut self, first: StorePosition) {
         if first.era > self.era() {
             self.needs_read = false;
+            self.unknown_from = None;
         }
         self.readable_from = self.readable_from.max(first);
     }
 
     /// Records that the store does not know the position: it was never one of this topic's.
     pub fn discard(&mut self) {
+        if let Some(position) = self.reached() {
+            let known = self.unknown_from.filter(|known| *known < position);
+            self.unknown_from = known.or(Some(position));
+        }
         self.reached = None;
         self.readable_from.offset = 0;
         self.needs_read = true;
@@ -83,7 +90,8 @@
     /// assert!(!position.is_behind(at(6)));
     /// ```
     pub fn is_behind(&self, position: StorePosition) -> bool {
-        position < self.readable_from
+        let unknown = self.unknown_from.filter(|_| self.needs_read);
+        position < self.readable_from || unknown.is_some_and(|unknown| position < unknown)
     }
 
     /// Records that a snapshot requested after all refusals ends at `end`, before the first offset that
@@ -111,6 +119,7 @@
     pub fn reach_by_read(&mut self, position: StorePosition) -> bool {
         if position.era == self.era() {
             self.needs_read = false;
+            self.unknown_from = self.unknown_from.filter(|unknown| position < *unknown);
         }
         self.reach(position)
     }
@@ -118,7 +127,8 @@
     /// Records that another daemon's copy, which was taken over, is complete up to `position`; whether
     /// this one advances.
     pub fn reach_by_report(&mut self, position: StorePosition) -> bool {
-        let is_suspect = self.needs_read && position.era == self.era();
+        let is_unknown = self.unknown_from.is_some_and(|unknown| position >= unknown);
+        let is_suspect = position.era == self.era() && (self.needs_read || is_unknown);
         !is_suspect && self.reach(position)
     }
 
--- a/tests/suite/policy/topic_position.rs
+++ b/tests/suite/policy/topic_position.rs
@@ -1,6 +1,7 @@
 //! Copies of the configuration that read the store and tell each other what they read, in any order.
 
 use googletest::prelude::*;
+use lentilway::clock::MilliTime;
 use lentilway::policy::config_state::{ConfigClaim, ConfigRead, ConfigState};
 use lentilway::policy::store_position::{StoreEra, StorePosition};
 use lentilway::policy::topic_position::TopicPosition;
@@ -272,3 +273,161 @@
     expect_that!(position.read_position(), some(eq(at(1, 4))));
     expect_that!(position.reach_by_report(at(1, 5)), is_true());
 }
+
+/// A report from before a discard brought the position back after the next read.
+#[gtest]
+fn discard_report_after_read() {
+    let mut position = TopicPosition::default();
+    position.reach_by_report(at(1, 9));
+    position.discard();
+    position.reach_by_read(at(1, 4));
+    expect_that!(position.reach_by_report(at(1, 9)), is_false());
+    expect_that!(position.read_position(), some(eq(at(1, 4))));
+    // The store gets there by itself, and in another era the position is another one.
+    position.reach_by_read(at(1, 9));
+    expect_that!(position.reach_by_report(at(1, 12)), is_true());
+    position.discard();
+    expect_that!(position.reach_by_report(at(2, 30)), is_true());
+}
+
+/// What the store answers to a sequence of reads besides the truth.
+#[derive(Clone, Copy, Debug)]
+enum OddAnswer {
+    /// A snapshot from before the last writes; reads of changes are right.
+    SnapshotBehind { missing: usize },
+    /// A refusal that names no first offset, or none after the position.
+    RefusedWithout,
+    /// A refusal that names a first offset after the position by this much.
+    RefusedBefore { after: u64 },
+}
+
+#[derive(Clone, Debug)]
+enum ReadEvent {
+    Write,
+    Trim {
+        kept: usize,
+    },
+    /// The copy reads the store.
+    Read {
+        odd: Option<OddAnswer>,
+    },
+    /// Another daemon reports what the store held some records ago.
+    Report {
+        missing: usize,
+    },
+}
+
+fn read_events() -> impl Strategy<Value = Vec<ReadEvent>> {
+    let odd = prop_oneof![
+        (0..4_usize).prop_map(|missing| OddAnswer::SnapshotBehind { missing }),
+        Just(OddAnswer::RefusedWithout),
+        (1..9_u64).prop_map(|after| OddAnswer::RefusedBefore { after }),
+    ];
+    let event = prop_oneof![
+        3 => Just(ReadEvent::Write),
+        1 => (0..3_usize).prop_map(|kept| ReadEvent::Trim { kept }),
+        4 => prop::option::of(odd).prop_map(|odd| ReadEvent::Read { odd }),
+        3 => (0..4_usize).prop_map(|missing| ReadEvent::Report { missing }),
+    ];
+    prop::collection::vec(event, 0..60)
+}
+
+/// Reads the store once, as a daemon does, one read after the other; whether the read is taken as proof.
+fn read_once(store: &TestStore, state: &mut ConfigState, odd: Option<OddAnswer>) -> bool {
+    let from = state.read_position();
+    match (from, odd) {
+        (Some(_), Some(OddAnswer::RefusedWithout)) => {
+            state.discard_position();
+            return false;
+        }
+        (Some(from), Some(OddAnswer::RefusedBefore { after })) => {
+            let first = StorePosition { offset: from.offset + after, ..from };
+            state.refuse_before(first);
+            return false;
+        }
+        _ => {}
+    }
+    let mut read = match store.read(from) {
+        StoreAnswer::Read(read) => read,
+        StoreAnswer::Expired(first) => {
+            state.refuse_before(first);
+            return false;
+        }
+        StoreAnswer::Restored(_) => unreachable!("the store keeps its era here"),
+    };
+    if let (None, Some(OddAnswer::SnapshotBehind { missing })) = (from, odd) {
+        let end = store.versions.len().saturating_sub(missing);
+        read.position = store.position(end);
+        read.found = store.versions[..end].last().copied();
+    }
+    let end = read.position;
+    let is_proof = state.merge_read(&ConfigRead { proven: Some(MilliTime(1)), ..read }).is_proof;
+    if from.is_none() && state.read_position().is_none() {
+        state.resume_at(end);
+    }
+    is_proof
+}
+
+fn check_reads(events: Vec<ReadEvent>) -> std::result::Result<(), TestCaseError> {
+    let mut store = TestStore::default();
+    let mut state = ConfigState::default();
+    // The offset up to which the store has shown that it holds records.
+    let mut shown = 0;
+    for event in events {
+        match event {
+            ReadEvent::Write => store.write(),
+            ReadEvent::Trim { kept } => store.trim(kept),
+            ReadEvent::Report { missing } => {
+                let end = store.versions.len().saturating_sub(missing);
+                let version = store.versions[..end].last().copied();
+                let claim = ConfigClaim {
+                    version: version.unwrap_or_default(),
+                    found: version,
+                    position: Some(store.position(end)),
+                    proven: None,
+                };
+                state.merge_claim(&claim);
+            }
+            ReadEvent::Read { odd } => {
+                let known = state.version();
+                shown = shown.max(state.read_position().map_or(0, |position| position.offset));
+                let position = state.read_position();
+                let is_dropped =
+                    position.is_some_and(|position| position < store.position(store.first));
+                let is_odd = matches!(
+                    odd,
+                    Some(OddAnswer::RefusedWithout | OddAnswer::RefusedBefore { .. })
+                );
+                let is_refused = is_dropped && !is_odd;
+                if is_refused {
+                    shown = shown.max(store.first as u64);
+                }
+                let is_proof = read_once(&store, &mut state, odd);
+                prop_assert!(state.version() >= known);
+                let retained = &store.versions[..shown.min(store.versions.len() as u64) as usize];
+                let has_all = retained.iter().all(|version| *version <= state.version());
+                prop_assert!(!is_proof || has_all);
+            }
+        }
+        let position = state.read_position();
+        prop_assert!(position.is_none_or(|position| position <= store.end()));
+    }
+    // One odd answer may be pending: its refusal, a snapshot, and what `check_ends` allows.
+    for _ in 0..2 * READS_TO_END {
+        read_once(&store, &mut state, None);
+    }
+    prop_assert_eq!(state.read_position(), Some(store.end()));
+    prop_assert!(store.versions.iter().all(|version| *version <= state.version()));
+    Ok(())
+}
+
+/// A store that contradicted itself for a while left daemons without a position, or with a proof that
+/// the store had not given.
+#[gtest]
+fn config_newest_odd_answers() {
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let cases = Config::default().cases.max(ORDERS);
+    let config = Config { failure_persistence: None, ..Config::with_cases(cases) };
+    let mut runner = TestRunner::new_with_rng(config, random);
+    runner.run(&read_events(), check_reads).unwrap();
+}
