Test: a directory whose dropped position is told by those that ask the reader

directory_read_history_dropped_in_outage passes without by luck of its times. With one reader the daemons that ask it hold the dropped position for seconds and tell it time and again: directory_read_history_dropped_one_reader.

--- a/tests/suite/sidecar/dropped_positions.rs
+++ b/tests/suite/sidecar/dropped_positions.rs
@@ -85,7 +85,17 @@
 #[gtest]
 #[tokio::test]
 async fn directory_read_history_dropped_in_outage() {
-    let fleet = TestFleet::with_zones();
+    check_directory_read(TestFleet::with_zones()).await;
+}
+
+/// The same with one reader: those that ask it hold the dropped position for seconds, and tell it.
+#[gtest]
+#[tokio::test]
+async fn directory_read_history_dropped_one_reader() {
+    check_directory_read(TestFleet::new()).await;
+}
+
+async fn check_directory_read(fleet: TestFleet) {
     let _daemons = start_all(&fleet, &["one", "two", "three", "four"]).await;
     fleet.store.set_down(true);
     sleep(DIRECTORY_OUTAGE).await;
