Soak: the store drops its records in an outage

In half of the seeds with unplanned faults the store is silent for 1 to 6 s, the operator withdraws a key and adds a route meanwhile, and all records but the newest of each key are dropped.

Plans of earlier seeds keep their faults and get this one beside them.

--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -12,6 +12,7 @@
 const DEADLY_SEED: u64 = 0xdead_1e57;
 const LEAVE_SEED: u64 = 0x1ea7_e5e5;
 const ANSWER_SEED: u64 = 0x0503_c0b1;
+const HISTORY_SEED: u64 = 0x4151_0c04;
 
 /// A fault of one node or of a shared component; the `usize` is the node's index.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,6 +48,8 @@
     Store(StoreFault),
     /// The store comes back from a copy; the operator writes again what it lacks.
     RestoreStore,
+    /// The store is silent, and drops its records while it is; the operator goes on meanwhile.
+    DropHistory,
     /// A request that ends each upstream that runs it is sent again and again.
     SendDeadly {
         /// Whether it may run twice.
@@ -142,6 +145,7 @@
         }
     }
     plan.extend(draw_store_returns(seed, length, planned_only));
+    plan.extend(draw_history_losses(seed, length, planned_only));
     plan.extend(draw_deadly_requests(seed, length));
     plan.extend(draw_leaves(seed, nodes, length, planned_only));
     plan.extend(draw_answer_faults(seed, length));
@@ -165,6 +169,22 @@
     (0..count).map(|_| draw()).collect()
 }
 
+/// Losses of the store's history in outages, one or two in half of the runs with unplanned faults. They
+/// are drawn apart as well.
+fn draw_history_losses(seed: u64, length: Duration, planned_only: bool) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ HISTORY_SEED);
+    let count = random.random_range(0..4_usize).saturating_sub(1);
+    if planned_only {
+        return Vec::new();
+    }
+    let mut draw = || PlannedFault {
+        at: length.mul_f64(random.random_range(0.3..1.0)),
+        duration: Duration::from_millis(random.random_range(1_000..6_000)),
+        fault: SoakFault::DropHistory,
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 /// Deadly requests in half of the runs, those with planned operations only among them. They are drawn
 /// apart as well.
 fn draw_deadly_requests(seed: u64, length: Duration) -> Option<PlannedFault> {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -251,6 +251,17 @@
         self.add_route().await;
     }
 
+    /// Has the store drop its records in a silence of `duration`, in which the operator withdraws a key
+    /// and adds a route; what is older than the newest version cannot be read any more.
+    async fn drop_history(&self, duration: Duration) {
+        self.store.set_mode(StoreMode::Silent);
+        sleep(duration).await;
+        self.withdraw_key().await;
+        self.add_route().await;
+        self.store.drop_all_history();
+        self.store.set_mode(StoreMode::Healthy);
+    }
+
     async fn start_callers(
         self: &Arc<Self>,
         seed: u64,
@@ -348,6 +359,7 @@
                 self.store.set_mode(StoreMode::Healthy);
             }
             SoakFault::RestoreStore => self.restore_store(planned.duration).await,
+            SoakFault::DropHistory => self.drop_history(planned.duration).await,
             SoakFault::SendDeadly { is_safe } => self.send_deadly(is_safe, planned.duration).await,
             SoakFault::CopyAnswers(plan) => self.copy_answers(plan, planned.duration).await,
             SoakFault::WithdrawKey => self.withdraw_key().await,
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -125,6 +125,14 @@
         first_offsets.insert(topic.to_owned(), end);
     }
 
+    /// Drops all records of all topics except the newest one of each key.
+    pub fn drop_all_history(&self) {
+        let topics = self.state.topics.lock().expect("lock not poisoned");
+        let names: Vec<String> = topics.keys().cloned().collect();
+        drop(topics);
+        names.iter().for_each(|topic| self.drop_history(topic));
+    }
+
     /// Advertises `link` to other daemons as the address of the daemon `name`.
     pub fn advertise_link(&self, name: &str, link: SocketAddr) {
         self.state.links.lock().expect("lock not poisoned").insert(name.to_owned(), link);
