--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -18,6 +18,16 @@
     Directory,
 }
 
+impl StoreTopic {
+    /// The name in log lines and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            StoreTopic::Configuration => "configuration",
+            StoreTopic::Directory => "directory",
+        }
+    }
+}
+
 /// The newest record of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRecord {
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -46,6 +46,14 @@
     origin: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TopicLabels {
+    topic: &'static str,
+}
+
+/// The value of a position without which only a snapshot leads on.
+const NO_POSITION: i64 = -1;
+
 /// The metrics of one daemon.
 #[derive(Debug)]
 pub struct SidecarMetrics {
@@ -55,6 +63,7 @@
     latency: Family<PriorityLabels, Histogram>,
     events: Family<EventLabels, Counter>,
     surplus_answers: Family<SurplusLabels, Counter>,
+    store_positions: Family<TopicLabels, Gauge>,
     /// Requests running at the backend server.
     pub running: Gauge,
     /// Requests waiting for the backend server.
@@ -129,6 +138,12 @@
             "How often the store came back from a copy, as it states",
             store_era.clone(),
         );
+        let store_positions = Family::<TopicLabels, Gauge>::default();
+        registry.register(
+            "store_position",
+            "Offset from which a topic of the store is read on, -1 if a snapshot is needed",
+            store_positions.clone(),
+        );
         let suspects = Gauge::default();
         registry.register(
             "suspects",
@@ -142,6 +157,7 @@
             latency,
             events,
             surplus_answers,
+            store_positions,
             running,
             waiting,
             backend_sends,
@@ -209,6 +225,21 @@
         self.surplus_answers.get_or_create(&SurplusLabels { server, origin }).clone()
     }
 
+    /// Sets the offset from which a topic of the store is read on; `None` if a snapshot is needed.
+    ///
+    /// ```
+    /// use lentilway::sidecar::process::sidecar_metrics::SidecarMetrics;
+    /// let metrics = SidecarMetrics::default();
+    /// metrics.set_position("directory", Some(7));
+    /// assert!(metrics.text().contains("lentilway_store_position{topic=\"directory\"} 7"));
+    /// metrics.set_position("directory", None);
+    /// assert!(metrics.text().contains("lentilway_store_position{topic=\"directory\"} -1"));
+    /// ```
+    pub fn set_position(&self, topic: &'static str, offset: Option<u64>) {
+        let value = offset.map_or(NO_POSITION, |offset| offset.try_into().unwrap_or(i64::MAX));
+        self.store_positions.get_or_create(&TopicLabels { topic }).set(value);
+    }
+
     /// Sets the limit that the backend server states.
     ///
     /// ```
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -240,7 +240,7 @@
                 is_proof
             }
         };
-        self.store_view.record_source(topic, position, &PositionSource::Store);
+        self.note_position(topic, position, &PositionSource::Store);
         self.note_directory_read();
         is_proof
     }
@@ -258,14 +258,14 @@
         if let Some(report) = configuration {
             let position = view.configuration.read_position();
             merge_config_report(self, requested, &report);
-            view.record_source(StoreTopic::Configuration, position, source);
+            self.note_position(StoreTopic::Configuration, position, source);
         }
         if let Some(report) = directory {
             self.log_report_behind(&report);
             let position = view.directory.read_position();
             let apply = |change| self.apply_directory_change(&change);
             view.directory.merge_report(requested, report, apply);
-            view.record_source(StoreTopic::Directory, position, source);
+            self.note_position(StoreTopic::Directory, position, source);
         }
         self.note_directory_read();
     }
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -171,7 +171,7 @@
                 let end = read.cursor;
                 let proven = proven_at(requested, from == Some(end), wait);
                 let is_proof = self.shared.merge_read(self.topic, from, read, proven);
-                self.shared.store_answered(topic_name(self.topic));
+                self.shared.store_answered(self.topic.name());
                 if from.is_none() {
                     self.end_snapshot(end, is_proof);
                 }
@@ -191,16 +191,16 @@
 
     /// Records a snapshot up to `end`, which was requested after all refusals.
     fn end_snapshot(&self, end: StorePosition, is_proof: bool) {
-        self.shared.log_snapshot_read(self.topic, end, is_proof);
         let view = &self.shared.store_view;
         if view.read_position(self.topic).is_none() {
             view.resume_at(self.topic, end);
         }
+        self.shared.log_snapshot_read(self.topic, end, is_proof);
     }
 
     fn report_unreadable(&self, records: usize) {
         if records > 0 {
-            let line = UnreadableRecordsLine { topic: topic_name(self.topic), records };
+            let line = UnreadableRecordsLine { topic: self.topic.name(), records };
             self.shared.log.write(LineCategory::Failure, "records-unreadable", &line);
         }
     }
@@ -233,7 +233,7 @@
         }
         // The snapshot that follows tells of the era.
         if !matches!(error, StoreError::Restored { .. }) {
-            self.shared.store_failed(topic_name(self.topic), error);
+            self.shared.store_failed(self.topic.name(), error);
         }
     }
 }
@@ -242,10 +242,3 @@
     // The sender lives as long as `shared`.
     let _ = shared.store_view.subscribe().changed().await;
 }
-
-fn topic_name(topic: StoreTopic) -> &'static str {
-    match topic {
-        StoreTopic::Configuration => "configuration",
-        StoreTopic::Directory => "directory",
-    }
-}
--- a/src/sidecar/process/store_report.rs
+++ b/src/sidecar/process/store_report.rs
@@ -78,6 +78,23 @@
         is_proof
     }
 
+    /// Records who told of the position of a topic if it is another one than `before`.
+    pub(super) fn note_position(
+        &self,
+        topic: StoreTopic,
+        before: Option<StorePosition>,
+        source: &PositionSource,
+    ) {
+        self.store_view.record_source(topic, before, source);
+        self.show_position(topic);
+    }
+
+    /// Shows the position of a topic in the metrics.
+    fn show_position(&self, topic: StoreTopic) {
+        let position = self.store_view.read_position(topic);
+        self.metrics.set_position(topic.name(), position.map(|position| position.offset));
+    }
+
     /// Logs that another daemon knows the directory of an earlier era.
     pub(super) fn log_report_behind(&self, report: &TopicReport) {
         let known = self.store_view.directory.cursor().unwrap_or_default();
@@ -95,6 +112,7 @@
         error: &StoreError,
     ) {
         self.metrics.count("position_refused");
+        self.show_position(topic);
         let told_by = self.store_view.source(topic);
         let line = PositionRefusedLine { topic, position, told_by, reason: error.to_string() };
         self.log.write(LineCategory::Change, "position-refused", &line);
@@ -103,6 +121,7 @@
     /// Logs a snapshot of a topic up to `end`.
     pub(super) fn log_snapshot_read(&self, topic: StoreTopic, end: StorePosition, is_proof: bool) {
         self.metrics.count("snapshot_read");
+        self.show_position(topic);
         let position = self.store_view.read_position(topic);
         let line = SnapshotLine { topic, end, position, is_proof };
         self.log.write(LineCategory::Change, "snapshot-read", &line);
