A read of the tickets that is behind proves nothing

What was wrong, in the daemon with result codes: a read whose tail lies before what was read already confirmed the contact with the log, so that withdrawn keys worked for as long as the reads lagged, and told a submission that the whole stream had been read, so that a ticket could be answered as not written.

The tail of the page alone was compared with the state, not with what the log had shown before; the line ticket-tail-behind was written, but nothing followed from it.

Change: such a read neither confirms the contact nor counts as the end of the stream; it is repeated after the delay that it had before.

Evidence: ticket_fleet::tail_behind_no_contact failed before (the contact stayed fresh for 3 s of reads behind) and passes. Not seen outside the test.

--- a/src/version/reader.rs
+++ b/src/version/reader.rs
@@ -79,12 +79,14 @@
     let tail = page.tail;
     apply_batch(shared, &RecordBatch::of_page(from, page.records), StateSource::Log);
     let next_offset = shared.version.next_offset();
-    if tail < from {
+    // What was read before lies beyond this tail, so the page shows an earlier state.
+    let is_behind = tail < from;
+    if is_behind {
         shared.metrics.count("ticket_tail_behind");
         log_event(Level::Error, "ticket-tail-behind", TailEvent { next_offset, tail });
         back_off(0).await;
     }
-    let reached_tail = next_offset >= tail;
+    let reached_tail = !is_behind && next_offset >= tail;
     if reached_tail {
         shared.sync.contacts.confirm(sent_at);
     }
--- a/tests/suite/ticket_fleet.rs
+++ b/tests/suite/ticket_fleet.rs
@@ -1,12 +1,18 @@
 //! Tickets in fleets: snapshots, gaps, peers, dissemination, partitions, withdrawn keys.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use async_trait::async_trait;
+use bytes::Bytes;
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use lentilway::config::DaemonConfig;
 use lentilway::process::daemon::Daemon;
+use lentilway::process::http_log::HttpLog;
+use lentilway::process::platform_log::{LogError, LogPage, PlatformLog, StreamName};
 use lentilway::process::submission::submit_ticket;
 use lentilway::version::freshness::{CONTACT_AGE_MAX, StateFreshness};
 use lentilway::version::snapshot::{decode_snapshot, encode_snapshot};
@@ -22,6 +28,8 @@
 
 const WAIT_MAX: Duration = Duration::from_secs(40);
 const POLL: Duration = Duration::from_millis(20);
+/// How long reads of a log lag behind; longer than its reads wait.
+const LAG_SPAN: Duration = Duration::from_secs(3);
 
 /// Waits until `is_met` holds and fails with `condition` on timeout.
 async fn until(condition: &str, is_met: impl AsyncFn() -> bool) -> googletest::Result<()> {
@@ -416,3 +424,52 @@
     until("the zone answers", async || nodes[0].freshness() == StateFreshness::LogDown).await?;
     verify_that!(ask(&Caller::default(), nodes[0].caller()).await, eq(1000))
 }
+
+/// A log whose reads lag behind what it has answered before, while it is told to.
+struct LaggingLog {
+    client: HttpLog,
+    is_behind: Arc<AtomicBool>,
+}
+
+#[async_trait]
+impl PlatformLog for LaggingLog {
+    async fn append(&self, stream: &StreamName, body: Bytes) -> Result<u64, LogError> {
+        self.client.append(stream, body).await
+    }
+
+    async fn read(
+        &self,
+        stream: &StreamName,
+        from: u64,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        let mut page = self.client.read(stream, from, limit, wait).await?;
+        if self.is_behind.load(Ordering::SeqCst) {
+            page = LogPage { records: Vec::new(), tail: from.saturating_sub(1) };
+        }
+        Ok(page)
+    }
+}
+
+/// A read that ended before what was known already was taken as proof that the state is up to date.
+#[tokio::test]
+async fn tail_behind_no_contact() -> googletest::Result<()> {
+    let log = start_log(&basic_tickets()).await;
+    let is_behind = Arc::new(AtomicBool::new(false));
+    let lagging = LaggingLog { client: HttpLog::new(&log.url()), is_behind: is_behind.clone() };
+    let config = DaemonConfig::loopback(&log.url(), "az1");
+    let daemon = Daemon::start_with_log(config, Arc::new(lagging)).await;
+    let daemon = daemon.expect("the daemon starts");
+    wait_offset(&daemon, 2).await;
+    let contacts = &daemon.shared.sync.contacts;
+    until("the log was reached", async || contacts.contact_age().is_some()).await?;
+    is_behind.store(true, Ordering::SeqCst);
+    let behind = || daemon.shared.metrics.counted("ticket_tail_behind") > 0;
+    until("a read was behind", async || behind()).await?;
+    let age = contacts.contact_age();
+    sleep(LAG_SPAN).await;
+    verify_that!(contacts.contact_age() >= age.map(|age| age + LAG_SPAN), eq(true))?;
+    is_behind.store(false, Ordering::SeqCst);
+    until("the log was reached again", async || contacts.contact_age() < Some(LAG_SPAN)).await
+}
