--- a/tests/suite/policy/topic_position.rs
+++ b/tests/suite/policy/topic_position.rs
@@ -230,15 +230,18 @@
     check_ends(&store, &mut copies)
 }
 
+fn seeded_runner() -> TestRunner {
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let cases = Config::default().cases.max(ORDERS);
+    let config = Config { failure_persistence: None, ..Config::with_cases(cases) };
+    TestRunner::new_with_rng(config, random)
+}
+
 /// Review case 6: whatever copies read and tell each other, a refused position does not come back, no
 /// version goes back, and each copy that can read the store ends at the newest version.
 #[gtest]
 fn config_newest_any_order() {
-    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let cases = Config::default().cases.max(ORDERS);
-    let config = Config { failure_persistence: None, ..Config::with_cases(cases) };
-    let mut runner = TestRunner::new_with_rng(config, random);
-    runner.run(&events(), check_fleet).unwrap();
+    seeded_runner().run(&events(), check_fleet).unwrap();
 }
 
 fn at(era: u64, offset: u64) -> StorePosition {
@@ -425,9 +428,5 @@
 /// the store had not given.
 #[gtest]
 fn config_newest_odd_answers() {
-    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let cases = Config::default().cases.max(ORDERS);
-    let config = Config { failure_persistence: None, ..Config::with_cases(cases) };
-    let mut runner = TestRunner::new_with_rng(config, random);
-    runner.run(&read_events(), check_reads).unwrap();
+    seeded_runner().run(&read_events(), check_reads).unwrap();
 }
