A starting daemon dates a proof by the request that it answers

Cause: each request for records that a starting daemon sends over a link to it had the number 0, and only the time of the last one was kept. The answer to the first, held up by the link, was dated by the last, so that its proof seemed younger by the time under way. Ruled out: links that a daemon opens itself; their requests have numbers of their own.

An answer counts from the request that it names, so a slow link now also yields a proof where the next request was sent before the answer arrived, which was none at the opening end until now.

--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -10,6 +10,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::sidecar::process::peer_table::PeerEntry;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
@@ -28,8 +29,7 @@
     sender: mpsc::UnboundedSender<PeerMessage>,
     pending: Mutex<HashMap<u64, oneshot::Sender<PeerAnswer>>>,
     next_number: AtomicU64,
-    /// Number and time of the last request for records.
-    record_request: Mutex<Option<(u64, MilliTime)>>,
+    record_requests: Mutex<RecordRequests>,
 }
 
 /// Cancels a call at the other daemon when dropped, unless it was answered.
@@ -62,7 +62,7 @@
             sender,
             pending: Mutex::default(),
             next_number: AtomicU64::new(0),
-            record_request: Mutex::default(),
+            record_requests: Mutex::default(),
         }
     }
 
@@ -87,8 +87,8 @@
     /// Requests the records that the other daemon has and this one lacks.
     pub(crate) fn ask_records(&self, shared: &SidecarShared) {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let request = Some((number, shared.clock.now()));
-        *self.record_request.lock().expect("lock not poisoned") = request;
+        let now = shared.clock.now();
+        self.record_requests.lock().expect("lock not poisoned").record(number, now);
         let view = &shared.store_view;
         self.send(PeerMessage::AskRecords {
             number,
@@ -97,10 +97,9 @@
         });
     }
 
-    /// The time of the request for records with this number, if it is the last one.
+    /// The time of the request for records that an answer names.
     fn requested_at(&self, number: Option<u64>) -> Option<MilliTime> {
-        let request = self.record_request.lock().expect("lock not poisoned");
-        request.filter(|(last, _)| Some(*last) == number).map(|(_, at)| at)
+        self.record_requests.lock().expect("lock not poisoned").requested_at(number)
     }
 
     fn complete_call(&self, answer: PeerAnswer) {
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -11,6 +11,7 @@
 
 use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
+use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
 use crate::policy::store_position::StorePosition;
@@ -44,8 +45,6 @@
     }
 }
 
-/// Number of the request for records that a starting daemon sends over a link to it.
-const START_REQUEST: u64 = 0;
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A daemon that asked for records gets changes unasked for this long.
 const FOLLOWER_SPAN: Duration = Duration::from_secs(3);
@@ -108,7 +107,8 @@
     if sender.send(PeerMessage::Hello { name, service }).is_err() {
         return LinkError::Closed;
     }
-    let mut start_request = None;
+    let mut start_requests = RecordRequests::default();
+    let mut start_numbers = 0_u64..;
     let mut start_checks = interval(START_CHECK_INTERVAL);
     start_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut follower = RecordFollower::default();
@@ -152,7 +152,7 @@
                         }
                     }
                     PeerMessage::Records { number, configuration, directory } => {
-                        let requested = start_request.filter(|_| number == Some(START_REQUEST));
+                        let requested = start_requests.requested_at(number);
                         let source = PositionSource::LinkedDaemon;
                         shared.merge_reports(&source, requested, configuration, directory);
                     }
@@ -194,10 +194,12 @@
             }
             // This daemon has just started, with many others or while the store is down.
             _ = start_checks.tick(), if !shared.is_listed() => {
-                if shared.take_start_request() {
-                    start_request = Some(shared.clock.now());
+                if shared.take_start_request()
+                    && let Some(number) = start_numbers.next()
+                {
+                    start_requests.record(number, shared.clock.now());
                     let ask = PeerMessage::AskRecords {
-                        number: START_REQUEST,
+                        number,
                         version: shared.store_view.configuration.version(),
                         directory: shared.store_view.directory.cursor(),
                     };
--- a/tests/suite/sidecar/held_links.rs
+++ b/tests/suite/sidecar/held_links.rs
@@ -19,6 +19,13 @@
 /// Time in which frames that were held back arrive and have their effect.
 const ARRIVAL_SPAN: Duration = Duration::from_millis(300);
 const CASES: usize = 5;
+/// After this time the links are up and the initial reads are done.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// The withdrawal bound in the test settings.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+/// How long a frame is under way to or from a starting daemon; a silent link is closed after 2 s.
+const START_LINK_DELAY: Duration = Duration::from_millis(900);
+const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 fn arrival(reaction: Reaction) -> ArrivalPlan {
     ArrivalPlan { reaction, id_place: IdPlace::Last, copy_before: None, copy_after: None }
@@ -233,3 +240,30 @@
     expect_that!(status(caller.await.unwrap()), some(eq(504)));
     expect_that!(fleet.runs("/write/0"), eq(1));
 }
+
+/// Review case 9: a starting daemon dated the answer to its first request for records by its last one,
+/// so that a withdrawn key worked beyond the bound.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn start_request_held_proof_not_younger() {
+    let LinkedFleet { fleet, entry: _entry, called, relay, server: _server } =
+        LinkedFleet::start(&[]).await;
+    sleep(SETTLE_TIME).await;
+    fleet.store.set_down(true);
+    let withdrawn = Instant::now();
+    relay.set_mode(LinkMode::Delay(START_LINK_DELAY));
+    let starting = fleet.restart_silent(called).await;
+    let (mut served, mut late) = (0, 0);
+    let mut number = 10;
+    while withdrawn.elapsed() < WITHDRAWAL_BOUND + 3 * START_LINK_DELAY {
+        number += 1;
+        fleet.announce(&starting, number, false).await;
+        let is_late = withdrawn.elapsed() > WITHDRAWAL_BOUND;
+        let is_served = fleet.send(&starting, "/read/first", KEY).await.status == 200;
+        served += usize::from(is_served);
+        late += usize::from(is_late && is_served);
+        sleep(POLL_INTERVAL).await;
+    }
+    expect_that!(served, gt(0));
+    expect_that!(late, eq(0));
+}
