A read that holds part of the records proves nothing

Cause: the store returns at most max_kb of records. That the read had come back counted as proof that nothing newer was written, although its head names the end of the topic. Ruled out: that the proof of before the outage lasts too long; the daemon refuses the key before the store is back.

Change: StoreRead::is_partial, set where a read ends before the topic. Such a read is merged, proves nothing, and the next one follows at once unless it brought nothing.

--- a/src/sidecar/process/keyed_store.rs
+++ b/src/sidecar/process/keyed_store.rs
@@ -48,6 +48,8 @@
     pub cursor: StorePosition,
     /// The number of records that could not be decoded and are left out.
     pub unreadable: usize,
+    /// Whether the topic had more records than the answer holds, so that it proves nothing.
+    pub is_partial: bool,
 }
 
 /// Why a call to the store failed.
@@ -103,7 +105,8 @@
     /// [`StoreError`] if the store did not answer.
     async fn snapshot(&self, topic: StoreTopic) -> Result<StoreRead, StoreError>;
 
-    /// Reads the records after `cursor`. Waits up to `wait` for the first, then returns empty.
+    /// Reads the records after `cursor`, or the first of them. Waits up to `wait` for the first, then
+    /// returns empty.
     ///
     /// # Errors
     /// [`StoreError::Restored`], [`StoreError::Expired`] and [`StoreError::UnknownPosition`] if a snapshot
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -217,20 +217,20 @@
     }
 
     /// Merges a read of the store and applies what changed; whether it proves the state, as of
-    /// `proven`.
+    /// `proven` if that is given.
     pub(crate) fn merge_read(
         self: &Arc<Self>,
         topic: StoreTopic,
         from: Option<StorePosition>,
         read: StoreRead,
-        proven: MilliTime,
+        proven: Option<MilliTime>,
     ) -> bool {
         let era = read.cursor.era;
         let position = self.store_view.read_position(topic);
         let is_proof = match topic {
             StoreTopic::Configuration => {
                 let is_rewrite = from.is_some() && has_config(self, &read.records);
-                let proven = self.observe_era(topic, era, proven, is_rewrite).then_some(proven);
+                let proven = self.observe_era(topic, era, proven, is_rewrite);
                 merge_config_read(self, read, proven)
             }
             StoreTopic::Directory => {
--- a/src/sidecar/process/store_reader.rs
+++ b/src/sidecar/process/store_reader.rs
@@ -170,6 +170,8 @@
                 self.report_unreadable(read.unreadable);
                 let end = read.cursor;
                 let proven = proven_at(requested, from == Some(end), wait);
+                let proven = (!read.is_partial).then_some(proven);
+                let reads_on = read.is_partial && from < Some(end);
                 let is_proof = self.shared.merge_read(self.topic, from, read, proven);
                 self.shared.store_answered(self.topic.name());
                 if from.is_none() {
@@ -178,6 +180,8 @@
                 match (is_proof, from) {
                     (true, Some(_)) => self.backoff.record_changes(),
                     (true, None) => self.backoff.record_snapshot(),
+                    // The rest is read at once.
+                    (false, _) if reads_on => {}
                     (false, _) => self.retry_later(),
                 }
                 true
--- a/src/sidecar/process/store_report.rs
+++ b/src/sidecar/process/store_report.rs
@@ -54,28 +54,28 @@
 }
 
 impl SidecarShared {
-    /// Records the era of a read of the store, and logs it if it is a new one; whether the read
-    /// proves the state as of `proven`.
+    /// Records the era of a read of the store, and logs it if it is a new one; returns the time as of
+    /// which the read proves the state: `proven`, if it does.
     pub(super) fn observe_era(
         &self,
         topic: StoreTopic,
         era: StoreEra,
-        proven: MilliTime,
+        proven: Option<MilliTime>,
         has_rewrite: bool,
-    ) -> bool {
+    ) -> Option<MilliTime> {
         let is_confirmed = known_version(self, era).is_some();
         let evidence = EraEvidence { is_confirmed, has_rewrite };
         let mut hold = self.store_view.hold.lock().expect("lock not poisoned");
         let is_new = hold.newest_era().is_none_or(|newest| era > newest);
-        let is_proof = hold.observe(proven, era, evidence);
+        let proven = proven.filter(|proven| hold.observe(*proven, era, evidence));
         drop(hold);
         if is_new {
             self.metrics.store_era.set(era.0.try_into().unwrap_or(i64::MAX));
             let known = self.store_view.read_position(topic);
-            let line = EraLine { topic, era, known, is_trusted: is_proof };
+            let line = EraLine { topic, era, known, is_trusted: proven.is_some() };
             self.log.write(LineCategory::Change, "store-era", &line);
         }
-        is_proof
+        proven
     }
 
     /// Records who told of the position of a topic if it is another one than `before`.
--- a/src/sidecar/process/store_view.rs
+++ b/src/sidecar/process/store_view.rs
@@ -71,14 +71,14 @@
         self.lock().freshness.is_fresh(now, bound)
     }
 
-    /// Merges a read of the store that proves the state as of `proven`, unless it is older than what the
-    /// store has said before; returns whether it does. `apply` receives what changed.
+    /// Merges a read of the store that proves the state as of `proven`, if that is given, unless it is
+    /// older than what the store has said before; returns whether it does. `apply` receives what changed.
     /// `from` is the position that was read from, `None` for a snapshot.
     pub(crate) fn merge_read(
         &self,
         from: Option<StorePosition>,
         read: StoreRead,
-        proven: MilliTime,
+        proven: Option<MilliTime>,
         apply: impl FnOnce(TopicChange),
     ) -> bool {
         let _order = self.apply_order.lock().expect("lock not poisoned");
@@ -93,11 +93,11 @@
         let mut state = self.lock();
         // Whatever was written before that time lies before the position now held.
         let is_known = state.replica.cursor().is_some_and(|known| known.covers(cursor));
-        let is_proof = is_known && !is_behind;
-        if is_proof {
+        let proven = proven.filter(|_| is_known && !is_behind);
+        if let Some(proven) = proven {
             state.freshness.prove(proven);
         }
-        is_proof
+        proven.is_some()
     }
 
     /// Merges the report of another daemon, which answers a request made at `requested` if it is
--- a/tests/suite/platform/store.rs
+++ b/tests/suite/platform/store.rs
@@ -259,3 +259,17 @@
         expect_that!(written, le(STORE_ANSWER_BYTES_MAX + SOCKET_BUFFER_BYTES), "{name}");
     }
 }
+
+/// Review case 2: a read whose head tells of more records than it holds is not the whole.
+#[gtest]
+#[tokio::test]
+async fn changes_cut_short() {
+    for (end, is_partial) in [(2_u64, false), (3, true)] {
+        let mut body = framed(&[b"\x03one1", b"\x03two2"]);
+        body[..8].copy_from_slice(&end.to_be_bytes());
+        let store = start_answering(body).await;
+        let read = store.changes(DIRECTORY, StorePosition::default(), NO_WAIT).await.unwrap();
+        expect_that!(read.cursor, eq(position(0, 2)));
+        expect_that!(read.is_partial, eq(is_partial));
+    }
+}
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -65,6 +65,8 @@
     snapshot_ends: Mutex<HashMap<StoreTopic, u64>>,
     /// Reads of changes of these topics get this error.
     refusals: Mutex<HashMap<StoreTopic, StoreError>>,
+    /// Reads of changes return one record at a time, each after this time.
+    partial_read_time: Mutex<Option<Duration>>,
 }
 
 impl MemoryStore {
@@ -133,6 +135,11 @@
         self.written.notify_waiters();
     }
 
+    /// Reads of changes return one record at a time, each after `read_time`, from now on.
+    pub(super) fn cut_reads(&self, read_time: Duration) {
+        *self.partial_read_time.lock().unwrap() = Some(read_time);
+    }
+
     fn check_changes(&self, topic: StoreTopic) -> Result<(), StoreError> {
         self.refusals.lock().unwrap().get(&topic).cloned().map_or(Ok(()), Err)
     }
@@ -182,10 +189,19 @@
         let requested = all.into_iter().skip(from as usize);
         let (unreadable, records): (Vec<_>, Vec<_>) =
             requested.partition(|record| record.key == UNREADABLE_KEY);
-        StoreRead { records, cursor, unreadable: unreadable.len() }
+        StoreRead { records, cursor, unreadable: unreadable.len(), is_partial: false }
     }
 }
 
+/// The first record of a read from `from`.
+fn cut_read(mut read: StoreRead, from: StorePosition) -> StoreRead {
+    let end = read.cursor;
+    read.cursor.offset = from.offset + 1;
+    read.is_partial = read.cursor < end;
+    read.records.truncate(1);
+    read
+}
+
 #[async_trait]
 impl KeyedStore for MemoryStore {
     async fn snapshot(&self, topic: StoreTopic) -> Result<StoreRead, StoreError> {
@@ -228,7 +244,14 @@
                 return Err(StoreError::Expired { first });
             }
             if read.cursor != cursor || Instant::now() >= end {
-                return Ok(read);
+                let partial_read_time = *self.partial_read_time.lock().unwrap();
+                return match partial_read_time {
+                    Some(read_time) if read.cursor != cursor => {
+                        sleep(read_time).await;
+                        Ok(cut_read(read, cursor))
+                    }
+                    _ => Ok(read),
+                };
             }
             let _ = timeout(end - Instant::now(), written).await;
         }
--- a/tests/suite/sidecar/keys.rs
+++ b/tests/suite/sidecar/keys.rs
@@ -10,6 +10,9 @@
 
 /// The withdrawal bound in the test settings.
 const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+const PARTIAL_READ_TIME: Duration = Duration::from_millis(300);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const POLLS_MAX: u64 = 400;
 
 #[gtest]
 #[tokio::test]
@@ -78,3 +81,32 @@
     sleep(Duration::from_millis(100)).await;
     expect_that!(fleet.send(&daemon, "/read/1", WITHDRAWN_KEY).await.status, eq(200));
 }
+
+/// Review case 2: a read that held the first of several versions alone was taken as proof that none
+/// was newer, so that a key that the last one withdraws worked beyond the bound.
+#[gtest]
+#[tokio::test]
+async fn request_withdrawn_key_partial_reads() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    fleet.until(&daemon, "/read/1", WITHDRAWN_KEY, 200).await;
+    fleet.store.set_down(true);
+    for version in 2..6 {
+        fleet.store.write(StoreTopic::Configuration, "config", Some(config(version, true)));
+    }
+    fleet.store.write(StoreTopic::Configuration, "config", Some(config(6, false)));
+    sleep(WITHDRAWAL_BOUND).await;
+    fleet.store.cut_reads(PARTIAL_READ_TIME);
+    fleet.store.set_down(false);
+    let mut status = 503;
+    for number in 2.. {
+        // The backend server keeps sending heartbeats.
+        fleet.announce(&daemon, number, false).await;
+        status = fleet.send(&daemon, "/read/1", WITHDRAWN_KEY).await.status;
+        if status != 503 || number > POLLS_MAX {
+            break;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    expect_that!(status, eq(401));
+}
--- a/tests/suite/sidecar/replica.rs
+++ b/tests/suite/sidecar/replica.rs
@@ -144,7 +144,7 @@
             }
             None => self.state(end).into_values().collect(),
         };
-        Ok(StoreRead { records, cursor: end, unreadable: 0 })
+        Ok(StoreRead { records, cursor: end, ..StoreRead::default() })
     }
 }
 
