--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -176,19 +176,32 @@
     expect_that!(violations[0], contains_substring("request-2"));
 }
 
-/// Four daemons with the faults of one seed.
-#[gtest]
-#[tokio::test]
-async fn run_soak_short() {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-short");
+/// Runs a soak that ends without findings; `name` is that of its folder.
+async fn check_soak(name: &str, settings: SoakSettings) {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     let program = PathBuf::from(env!("CARGO_BIN_EXE_lentilway"));
-    let settings = SoakSettings { seed: 1, nodes: 4, duration: Duration::from_secs(5) };
     let report = run_soak(SoakPaths { program, folder }, &settings).await.expect("the soak starts");
     println!("{report}");
     expect_that!(report.violations, is_empty());
     expect_that!(report.requests.1, gt(0));
 }
 
+/// Four daemons with the faults of one seed.
+#[gtest]
+#[tokio::test]
+async fn run_soak_short() {
+    let settings = SoakSettings { seed: 1, nodes: 4, duration: Duration::from_secs(5) };
+    check_soak("soak-short", settings).await;
+}
+
+/// Review case 6: the fleet did not recover after the store had dropped its records in an outage.
+#[gtest]
+#[tokio::test]
+async fn run_soak_history_dropped() {
+    let settings = SoakSettings { seed: 15_002, nodes: 6, duration: Duration::from_secs(8) };
+    check_soak("soak-history-dropped", settings).await;
+}
+
 /// The violations if daemon 0 hears `statement` and its upstream then gets 30 requests
 /// that began there, 3.5 s later.
 fn violations_of_statement(statement: UpstreamStatement, is_interrupted: bool) -> Vec<String> {
