--- a/tests/suite/platform/records.rs
+++ b/tests/suite/platform/records.rs
@@ -67,6 +67,16 @@
     Ok(())
 }
 
+/// A configuration with long idempotent answers was rejected as a whole.
+#[gtest]
+fn config_download_idempotent() -> googletest::Result<()> {
+    let mut record = config();
+    record["resources"][0]["spec"]["kind"] = json!("download");
+    let config = PlatformDialect::default().config(record.to_string().as_bytes()).or_fail()?;
+    expect_that!(config.route("hulo84.example", "/leny950/2f").or_fail()?.is_idempotent, eq(true));
+    Ok(())
+}
+
 #[gtest]
 fn config_unusable() {
     let dialect = PlatformDialect::default();
