Decode warm-up limits, regions, evacuation keys and machine limits

The configuration states for each service at what rate a cold backend server takes requests and where health checks go, and for routes and organisations in which regions their requests may run. The settings state the region, the zones, the terms of cold servers and evacuations, memory and descriptors. Nothing uses these values yet; deployments are served as before. Decoder tests cover the new fields.

--- a/src/sidecar/process/settings.rs
+++ b/src/sidecar/process/settings.rs
@@ -1,5 +1,6 @@
 //! The validated settings of a sidecar daemon.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,21 @@
 use crate::policy::retry_allowance::RetryTerms;
 use crate::policy::token_share::RateWindow;
 
+/// Requests that a cold backend server may get beyond its stated rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpTerms {
+    /// Factor on the stated rate.
+    pub overage: f64,
+    /// Requests in any second in addition.
+    pub slack: f64,
+}
+
+impl Default for WarmUpTerms {
+    fn default() -> Self {
+        WarmUpTerms { overage: 1.0, slack: 0.0 }
+    }
+}
+
 /// The settings of a sidecar daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SidecarSettings {
@@ -14,6 +30,10 @@
     pub name: Arc<str>,
     /// Its availability zone.
     pub availability_zone: Arc<str>,
+    /// Its region; empty if the settings name none.
+    pub region: Arc<str>,
+    /// The region of each availability zone.
+    pub zone_regions: HashMap<Arc<str>, Arc<str>>,
     /// The service of the backend server beside it.
     pub service: Arc<str>,
     /// The address on which that backend server accepts requests.
@@ -38,6 +58,14 @@
     pub rate_window: RateWindow,
     /// The retry budget.
     pub retry_terms: RetryTerms,
+    /// Requests that a cold backend server may get beyond its stated rate.
+    pub warm_up_terms: WarmUpTerms,
+    /// Maximum time until the evacuation of a zone is in force after it was acknowledged.
+    pub evacuation_bound: Duration,
+    /// Memory of the machine that this process may use, in bytes.
+    pub memory_bytes: usize,
+    /// Descriptors that this process may open.
+    pub descriptors_max: usize,
     /// Memory for the bodies of messages in flight, in bytes.
     pub body_bytes: usize,
     /// Time after which a stopping process is killed.
--- a/src/sidecar/process/wire_dialect.rs
+++ b/src/sidecar/process/wire_dialect.rs
@@ -33,6 +33,10 @@
     pub key: HeaderName,
     /// The prefix of the key in that header.
     pub key_prefix: &'static str,
+    /// The id of the backend server, in its answers to health checks.
+    pub instance: HeaderName,
+    /// The milliseconds for which the backend server stays cold, in its answers to health checks.
+    pub cold_millis: HeaderName,
 }
 
 /// An announcement from a backend server.
@@ -101,6 +105,9 @@
     /// The key of the configuration's record in its topic.
     fn config_key(&self) -> &str;
 
+    /// The availability zone whose evacuation a record of the operators' topic requests.
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Decodes a version of the configuration.
     ///
     /// # Errors
--- a/src/sidecar/version/fleet_config.rs
+++ b/src/sidecar/version/fleet_config.rs
@@ -40,6 +40,28 @@
     pub attempts_max: u32,
     /// Whether requests need no key.
     pub is_open: bool,
+    /// The regions in which its requests may run; any region if empty.
+    pub regions: SmallVec<[Arc<str>; 2]>,
+}
+
+/// Rate of requests that a cold backend server of a service tolerates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpLimit {
+    /// Requests per second.
+    pub per_second: f64,
+    /// Time for which a backend server is cold after its start.
+    pub span: Duration,
+}
+
+/// A service, as the configuration describes its backend servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetService {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The path of health checks.
+    pub health_path: Option<Arc<str>>,
+    /// The limit of cold backend servers; `None` if they take requests at any rate.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 /// An organisation with its limits.
@@ -51,6 +73,19 @@
     pub priority: Option<u8>,
     /// Rate and burst across all daemons; `None` if unlimited.
     pub rate: Option<RateTerms>,
+    /// The regions in which its requests may run; any region if empty.
+    pub regions: SmallVec<[Arc<str>; 2]>,
+}
+
+/// An entry of a configuration that is left out or served with restrictions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UnreadableEntry {
+    /// The kind of entry.
+    pub kind: String,
+    /// Its name.
+    pub name: Arc<str>,
+    /// What is wrong.
+    pub problem: String,
 }
 
 /// Size limits of requests.
@@ -75,6 +110,9 @@
     pub version: u64,
     /// Size limits of requests.
     pub limits: RequestLimits,
+    /// Entries that are left out or served with restrictions.
+    pub unreadable: Vec<UnreadableEntry>,
+    services: HashMap<Arc<str>, FleetService>,
     routes: HashMap<Arc<str>, Vec<Arc<FleetRoute>>>,
     organisations: HashMap<Arc<str>, Arc<FleetOrganisation>>,
     keys: HashMap<Arc<str>, Arc<FleetOrganisation>>,
@@ -94,6 +132,11 @@
         routes.insert(position, Arc::new(route));
     }
 
+    /// Adds a service.
+    pub fn add_service(&mut self, service: FleetService) {
+        self.services.insert(service.name.clone(), service);
+    }
+
     /// Adds an organisation and its keys.
     pub fn add_organisation(
         &mut self,
@@ -123,6 +166,7 @@
     ///         destinations: Default::default(),
     ///         attempts_max: 2,
     ///         is_open: true,
+    ///         regions: Default::default(),
     ///     });
     /// }
     /// assert_eq!(&*config.route("shop.example", "/stock/7").unwrap().name, "/stock/");
@@ -134,6 +178,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// The service with this name.
+    pub fn service(&self, name: &str) -> Option<&FleetService> {
+        self.services.get(name)
+    }
+
     /// The organisation that owns `key`.
     pub fn key_owner(&self, key: &str) -> Option<&Arc<FleetOrganisation>> {
         self.keys.get(key)
--- a/tests/suite/platform/records.rs
+++ b/tests/suite/platform/records.rs
@@ -8,7 +8,9 @@
 use lentilway::policy::backend_notice::{BackendNotice, RequestLimit, StatedLimit};
 use lentilway::policy::retry_allowance::RetryTerms;
 use lentilway::policy::token_share::RateWindow;
+use lentilway::sidecar::process::settings::WarmUpTerms;
 use lentilway::sidecar::process::wire_dialect::{BackendAnnouncement, WireDialect};
+use lentilway::sidecar::version::fleet_config::WarmUpLimit;
 use serde_json::{Value, json};
 
 const HEARTBEAT_PATH: &str = "/api/instances/i-7f3a91c2";
@@ -77,6 +79,24 @@
     Ok(())
 }
 
+/// The limit of cold backend servers and the regions were not read.
+#[gtest]
+fn config_warm_up_and_regions() -> googletest::Result<()> {
+    let mut record = config();
+    record["resources"][2]["spec"]["cold_start_s"] = json!(3.0);
+    record["resources"][2]["spec"]["cold_per_s"] = json!(15.0);
+    record["resources"][0]["spec"]["allowed_regions"] = json!(["ost"]);
+    record["resources"][3]["spec"]["allowed_regions"] = json!(["ost", "west"]);
+    let config = PlatformDialect::default().config(record.to_string().as_bytes()).or_fail()?;
+    let service = config.service("huvo11a").or_fail()?;
+    let warm_up = WarmUpLimit { per_second: 15.0, span: Duration::from_secs(3) };
+    expect_that!(service.warm_up, some(eq(warm_up)));
+    expect_that!(service.health_path.as_deref(), some(eq("/healthz")));
+    expect_that!(config.route("hulo84.example", "/leny950/2f").or_fail()?.regions.len(), eq(1));
+    expect_that!(config.key_owner("two").or_fail()?.regions.len(), eq(2));
+    Ok(())
+}
+
 #[gtest]
 fn config_unusable() {
     let dialect = PlatformDialect::default();
@@ -171,6 +191,11 @@
         settings.retry_terms,
         eq(RetryTerms { per_request: 0.2, slack: 50.0, window: Duration::from_secs(10) })
     );
+    expect_that!(settings.warm_up_terms, eq(WarmUpTerms::default()));
+    let shifted =
+        SETTINGS.replace("revoke_s = 5", "revoke_s = 5\ncold_overage = 1.5\ncold_slack = 8");
+    let terms = parse_settings(&shifted).or_fail()?.warm_up_terms;
+    expect_that!(terms, eq(WarmUpTerms { overage: 1.5, slack: 8.0 }));
     Ok(())
 }
 
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -24,7 +24,7 @@
 use lentilway::sidecar::process::keyed_store::{
     KeyedStore, StoreError, StoreRead, StoreRecord, StoreTopic,
 };
-use lentilway::sidecar::process::settings::SidecarSettings;
+use lentilway::sidecar::process::settings::{SidecarSettings, WarmUpTerms};
 use lentilway::sidecar::process::sidecar_daemon::SidecarDaemon;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -587,6 +587,8 @@
         let settings = SidecarSettings {
             name: name.into(),
             availability_zone: if self.has_zones { name.into() } else { "zone".into() },
+            region: "region".into(),
+            zone_regions: HashMap::new(),
             service: service.into(),
             backend_address: backend.address,
             request_listen: free_address(),
@@ -596,6 +598,10 @@
             metrics_listen: free_address(),
             store_address: free_address(),
             withdrawal_bound: Duration::from_secs(5),
+            warm_up_terms: WarmUpTerms::default(),
+            evacuation_bound: Duration::from_secs(5),
+            memory_bytes: 160 << 20,
+            descriptors_max: 4_100,
             body_bytes: 40 << 20,
             config_bound: Duration::from_secs(2),
             retry_terms: RetryTerms {
