Scarce tokens of an organisation go to its most urgent requests

Cause: while an organisation sends more than its rate, each daemon gave its tokens to requests in the order of arrival. Tokens also lay unused at entries.

Change: daemons that run out of tokens report their demand by urgency to the pool (TokenDemand). The pool answers with a cutoff (TokenCutoffs): more urgent requests take tokens, a fraction of those at the cutoff does, the others are refused at once. The stock of the pool corrects the cutoff, so that tokens that urgent requests do not need go to the others. Tokens that arrive go to the most urgent waiting request. Three fifths of the granted part of the tolerated excess become rate instead of stock; the sum in a window is unchanged.

--- a/src/policy/caller_retry.rs
+++ b/src/policy/caller_retry.rs
@@ -30,6 +30,25 @@
     expected.min(remaining.mul_f64(REMAINING_FRACTION_MAX)).max(DELAY_MIN)
 }
 
+/// The delay until a caller without a token should retry: 0.5 to 1.5 times the time until tokens
+/// come, by `draw` (0 to 1). Where the caller's remaining time is shorter, the delays are spread over
+/// the second half of what it allows, so that the refused callers do not return in one wave.
+///
+/// ```
+/// use std::time::Duration;
+/// use lentilway::policy::caller_retry::token_retry_delay;
+/// let (remaining, tokens_in) = (Duration::from_secs(1), Duration::from_secs(4));
+/// let [first, last] = [0.0, 1.0].map(|draw| token_retry_delay(remaining, tokens_in, draw));
+/// assert_eq!(first, Duration::from_millis(150));
+/// assert_eq!(last, Duration::from_millis(300));
+/// ```
+pub fn token_retry_delay(remaining: Duration, tokens_in: Duration, draw: f64) -> Duration {
+    let latest = remaining.mul_f64(REMAINING_FRACTION_MAX);
+    let last = tokens_in.mul_f64(1.5).max(DELAY_MIN).min(latest);
+    let first = tokens_in.mul_f64(0.5).max(DELAY_MIN).min(latest / 2);
+    first + last.saturating_sub(first).mul_f64(draw)
+}
+
 /// A request that states less than this fraction of the usual time has spent the rest on an earlier
 /// attempt. Without a capacity estimate, the shortest retry delay is a twentieth of most deadlines.
 const FIRST_ATTEMPT_FRACTION: f64 = 0.96;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -31,6 +31,7 @@
 pub mod stop_schedule;
 pub mod store_position;
 pub mod surplus_doubt;
+pub mod token_priority;
 pub mod token_share;
 pub mod topic_position;
 pub mod weighted_split;
--- a/src/policy/token_share.rs
+++ b/src/policy/token_share.rs
@@ -21,6 +21,9 @@
 
 /// Time of local demand for which tokens are kept here instead of being moved to the pool.
 const RESERVE_SPAN: Duration = Duration::from_millis(400);
+/// The same while tokens are scarce: those that lie at many daemons are missing for more urgent
+/// requests at others.
+const SCARCE_RESERVE_SPAN: Duration = Duration::from_millis(50);
 /// Smallest fraction of the burst that the pool may hold; the daemons may hold the rest.
 const POOL_FRACTION: f64 = 0.6;
 /// Window of the rate of local demand.
@@ -45,7 +48,11 @@
 const SPREAD_FRACTION: f64 = 0.75;
 /// Fraction of the tolerated excess that is added to the bucket; the rest covers tokens in transit
 /// and starts.
-const STOCK_FRACTION: f64 = 0.5;
+const STOCK_FRACTION: f64 = 0.2;
+/// Fraction of the tolerated excess that is granted in each window as additional rate: daemons lose
+/// tokens when they end, and some lie where no request arrives. Without it, an organisation short of
+/// its rate got 0.83 to 0.96 of it in `surge_most_urgent_first`.
+const REFILL_FRACTION: f64 = 0.3;
 
 /// Fraction of the tolerated excess that is granted after a start. Before another one in the same
 /// window, nothing is refilled for some time.
@@ -75,15 +82,19 @@
     /// use lentilway::policy::token_share::{RateTerms, RateWindow};
     /// let terms = RateTerms { per_second: 10.0, burst: 20.0 };
     /// let window = RateWindow { span: Duration::from_secs(5), slack: 4.0, overage: 0.0 };
-    /// assert_eq!(terms.spread_over(window), RateTerms { per_second: 13.0, burst: 7.0 });
+    /// let spread = terms.spread_over(window);
+    /// assert!((spread.per_second - 13.24).abs() < 1e-9);
+    /// assert!((spread.burst - 5.8).abs() < 1e-9);
     /// ```
     pub fn spread_over(self, window: RateWindow) -> RateTerms {
         if window.span.is_zero() {
             return self;
         }
         let moved = self.burst * SPREAD_FRACTION;
-        let per_second = self.per_second + moved / window.span.as_secs_f64();
-        let stock = self.tolerated_excess(window) * STOCK_FRACTION;
+        let excess = self.tolerated_excess(window);
+        let granted = moved + excess * REFILL_FRACTION;
+        let per_second = self.per_second + granted / window.span.as_secs_f64();
+        let stock = excess * STOCK_FRACTION;
         RateTerms { per_second, burst: self.burst - moved + stock }
     }
 
@@ -115,6 +126,7 @@
     members: usize,
     is_pool: bool,
     refills: bool,
+    is_scarce: bool,
     tokens: f64,
     refilled_at: MilliTime,
     demand: RateAverage,
@@ -128,6 +140,7 @@
             members: 1,
             is_pool: false,
             refills: false,
+            is_scarce: false,
             tokens: 0.0,
             refilled_at: now,
             demand: RateAverage::new(DEMAND_WINDOW_SECONDS, now),
@@ -163,6 +176,11 @@
         }
     }
 
+    /// Sets whether the organisation's demand is above its rate: fewer tokens are kept here then.
+    pub fn set_scarce(&mut self, is_scarce: bool) {
+        self.is_scarce = is_scarce;
+    }
+
     /// Takes a token for one request; `false` if there is none.
     ///
     /// ```
@@ -212,7 +230,7 @@
     /// Tokens to request from the pool, if local demand needs them.
     pub fn shortage(&mut self, now: MilliTime) -> Option<f64> {
         self.refill(now);
-        let reserve = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64();
+        let reserve = self.needed(now);
         let shortage = reserve.max(1.0) - self.tokens;
         (!self.is_pool && shortage > 0.0).then_some(shortage)
     }
@@ -220,7 +238,7 @@
     /// Tokens to request from the pool ahead of expected demand, if that is at least a token until
     /// the next exchanges. Tokens for rare requests would lie idle at each daemon.
     pub fn expected_shortage(&mut self, now: MilliTime) -> Option<f64> {
-        let has_demand = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64() >= 1.0;
+        let has_demand = self.needed(now) >= 1.0;
         has_demand.then(|| self.shortage(now)).flatten().filter(|shortage| *shortage >= SURPLUS_MIN)
     }
 
@@ -240,6 +258,11 @@
         self.tokens = (self.tokens + tokens).min(bound);
     }
 
+    /// The terms in force.
+    pub fn terms(&self) -> RateTerms {
+        self.terms
+    }
+
     /// Tokens held here.
     pub fn tokens(&self) -> f64 {
         self.tokens
@@ -264,8 +287,14 @@
         (equal_share + pooled).max(1.0)
     }
 
+    /// Tokens that local demand needs until the next exchanges.
+    fn needed(&mut self, now: MilliTime) -> f64 {
+        let span = if self.is_scarce { SCARCE_RESERVE_SPAN } else { RESERVE_SPAN };
+        self.demand.per_second(now) * span.as_secs_f64()
+    }
+
     fn reserve(&mut self, now: MilliTime) -> f64 {
-        let needed = self.demand.per_second(now) * RESERVE_SPAN.as_secs_f64();
+        let needed = self.needed(now);
         let equal_share = self.terms.burst * (1.0 - self.pool_fraction()) / self.members as f64;
         let idle = if self.refills { equal_share.min(1.0) } else { 0.0 };
         needed.max(idle)
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -17,6 +17,7 @@
 use crate::policy::request_identity::RequestIdentity;
 use crate::policy::root_admission::CostList;
 use crate::policy::store_position::StorePosition;
+use crate::policy::token_priority::{TokenCutoff, UrgencyCounts};
 use crate::sidecar::process::body_budget::{BodyBudget, BodyLease};
 use crate::sidecar::process::topic_replica::TopicUpdate;
 use crate::sidecar::request::context::{CallContext, CallOutcome, ForwardRequest};
@@ -80,6 +81,10 @@
     Crash(CrashReport),
     /// A run of a suspect ended well at the sender's backend server.
     Release(RequestIdentity),
+    /// The sender's demand for tokens that are scarce; answered with their cutoffs.
+    TokenDemand(Vec<TokenDemand>),
+    /// Which requests of organisations may take scarce tokens.
+    TokenCutoffs(Vec<OrganisationCutoff>),
 }
 
 /// A request to run at the receiver's backend server.
@@ -143,6 +148,20 @@
     pub(crate) tokens: f64,
 }
 
+/// Requests of an organisation since the sender's last report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct TokenDemand {
+    pub(crate) organisation: Arc<str>,
+    pub(crate) counts: UrgencyCounts,
+}
+
+/// The cutoff of an organisation's tokens; `None` if they are not scarce.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OrganisationCutoff {
+    pub(crate) organisation: Arc<str>,
+    pub(crate) cutoff: Option<TokenCutoff>,
+}
+
 /// Why a link between daemons ended.
 #[derive(Debug, Snafu)]
 pub(crate) enum LinkError {
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -202,6 +202,7 @@
             link.complete_call(*answer);
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+        PeerMessage::TokenCutoffs(cutoffs) => shared.quota.set_cutoffs(&cutoffs),
         PeerMessage::Records { number, configuration, directory } => {
             let source = PositionSource::Daemon(peer.name.clone());
             let requested = link.requested_at(number);
@@ -230,6 +231,7 @@
         | PeerMessage::Notice(_)
         | PeerMessage::Leaves(_)
         | PeerMessage::LeavesHeld { .. }
-        | PeerMessage::RequestTokens(_) => {}
+        | PeerMessage::RequestTokens(_)
+        | PeerMessage::TokenDemand(_) => {}
     }
 }
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -9,7 +9,9 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use super::frame::{
+    FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage, write_frames,
+};
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
@@ -97,6 +99,14 @@
     }
 }
 
+/// Sends cutoffs, if there are any; `false` if the link is closed.
+fn send_cutoffs(
+    sender: &mpsc::UnboundedSender<PeerMessage>,
+    cutoffs: Vec<OrganisationCutoff>,
+) -> bool {
+    cutoffs.is_empty() || sender.send(PeerMessage::TokenCutoffs(cutoffs)).is_ok()
+}
+
 async fn read_calls(
     shared: &Arc<SidecarShared>,
     reader: &mut FrameReader,
@@ -137,12 +147,28 @@
                     PeerMessage::Cancel(number) => {
                         calls.running.remove(&number).iter().for_each(AbortHandle::abort);
                     }
-                    PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+                    PeerMessage::Tokens(amounts) => {
+                        shared.quota.receive(&amounts);
+                        let cutoffs = shared.quota.cutoffs(&amounts);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
+                    }
                     PeerMessage::RequestTokens(requests) => {
                         let lent = shared.quota.lend(&requests);
                         if !lent.is_empty() && sender.send(PeerMessage::Tokens(lent)).is_err() {
                             return LinkError::Closed;
                         }
+                        let cutoffs = shared.quota.cutoffs(&requests);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
+                    }
+                    PeerMessage::TokenDemand(demands) => {
+                        let cutoffs = shared.quota.observe_demand(&demands);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
                     }
                     PeerMessage::AskRecords { number, version, directory } => {
                         follower.ask(shared.clock.now());
@@ -165,7 +191,8 @@
                     | PeerMessage::Alive
                     | PeerMessage::Load(_)
                     | PeerMessage::Answer(_)
-                    | PeerMessage::HoldLeaves { .. } => {}
+                    | PeerMessage::HoldLeaves { .. }
+                    | PeerMessage::TokenCutoffs(_) => {}
                 }
             }
             Some(number) = ended.recv() => {
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -21,5 +21,6 @@
 pub(crate) mod store_reader;
 mod store_report;
 pub(crate) mod store_view;
+pub(crate) mod token_exchange;
 pub mod topic_replica;
 pub mod wire_dialect;
--- a/src/sidecar/process/quota_table.rs
+++ b/src/sidecar/process/quota_table.rs
@@ -1,64 +1,65 @@
 //! Enforces the rates of organisations with this daemon's shares of fleet-wide token buckets.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tokio::sync::Notify;
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
-use xxhash_rust::xxh3::Xxh3;
+use tokio::time::{Instant, timeout_at};
 
-use super::peer_table::{PoolHost, instance_key};
+use super::peer_table::instance_key;
 use super::sidecar_shared::SidecarShared;
-use super::store_view::TopicView;
 use crate::clock::{MilliClock, MilliTime};
+use crate::policy::token_priority::{DemandLedger, TokenCutoff, TokenScarcity, TokenUrgency};
 use crate::policy::token_share::{RateTerms, RateWindow, TokenShare};
-use crate::sidecar::connection::frame::{PeerMessage, TokenAmount};
+use crate::sidecar::connection::frame::{
+    OrganisationCutoff, PeerMessage, TokenAmount, TokenDemand,
+};
 use crate::sidecar::version::fleet_config::{FleetConfig, FleetOrganisation};
 
-/// Time between exchanges of tokens with the pools.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum wait of a request for tokens from the pool.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(40);
 /// After a token request without success, requests are refused without waiting for this long.
 const EMPTY_POOL_BACKOFF: Duration = Duration::from_millis(60);
 /// Maximum age of the directory view for a refill, and the wait of a new host before its first
 /// refill, so that no two daemons refill the same share of a rate.
-const VIEW_AGE_MAX: Duration = Duration::from_secs(6);
-/// Hosts of an organisation, which refill its tokens in equal parts.
-const HOSTS_PER_ORGANISATION: usize = 16;
-
+pub(super) const VIEW_AGE_MAX: Duration = Duration::from_secs(6);
 #[derive(Debug)]
-struct OrganisationQuota {
-    share: TokenShare,
-    pool: u64,
+pub(super) struct OrganisationQuota {
+    pub(super) share: TokenShare,
+    pub(super) scarcity: TokenScarcity,
+    /// The demand that other daemons reported to this one as the pool.
+    pub(super) ledger: DemandLedger,
+    /// Whether a cutoff was in force at the last exchange.
+    pub(super) was_scarce: bool,
+    pub(super) pool: u64,
     /// Since when this daemon may refill as a host; `None` if it is none.
-    refill_from: Option<MilliTime>,
+    pub(super) refill_from: Option<MilliTime>,
     /// Whether tokens were exchanged since the organisation is known here.
-    has_exchanged: bool,
+    pub(super) has_exchanged: bool,
     /// Requests waiting for tokens from the pool.
-    waiting: u32,
-    backoff_until: MilliTime,
+    pub(super) waiting: SmallVec<[TokenUrgency; 4]>,
+    pub(super) backoff_until: MilliTime,
 }
 
 #[derive(Debug, Default)]
-struct QuotaState {
-    quotas: HashMap<Arc<str>, OrganisationQuota>,
+pub(super) struct QuotaState {
+    pub(super) quotas: HashMap<Arc<str>, OrganisationQuota>,
     /// Hosts of each organisation.
-    hosts: usize,
+    pub(super) hosts: usize,
     /// Replacement times and host counts of earlier views.
-    former_hosts: Vec<(MilliTime, usize)>,
+    pub(super) former_hosts: Vec<(MilliTime, usize)>,
     /// Whether the first directory view after the start listed this daemon; `None` before it.
-    was_listed: Option<bool>,
+    pub(super) was_listed: Option<bool>,
 }
 
 /// This daemon's shares of all organisations' tokens.
 #[derive(Debug)]
 pub(crate) struct QuotaTable {
-    clock: MilliClock,
-    own_key: u64,
-    window: RateWindow,
+    pub(super) clock: MilliClock,
+    pub(super) own_key: u64,
+    pub(super) window: RateWindow,
     state: Mutex<QuotaState>,
     received: Notify,
 }
@@ -67,23 +68,35 @@
 struct TokenWait<'a> {
     table: &'a QuotaTable,
     organisation: &'a FleetOrganisation,
+    urgency: TokenUrgency,
     has_timed_out: bool,
 }
 
+/// A request beyond its organisation's rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct QuotaRefusal {
+    /// Time until tokens for requests of its urgency come, if the pool stated it.
+    pub(crate) tokens_in: Option<Duration>,
+    /// Whether tokens were kept for more urgent requests.
+    pub(crate) is_cut_off: bool,
+}
+
+/// What a request takes before it runs.
+enum TokenStep {
+    Admitted,
+    Refused(QuotaRefusal),
+    /// The pool may lend a token.
+    Borrow(u64),
+}
+
 impl Drop for TokenWait<'_> {
     fn drop(&mut self) {
-        self.table.end_wait(self.organisation, self.has_timed_out);
+        self.table.end_wait(self.organisation, self.urgency, self.has_timed_out);
     }
 }
 
-fn rendezvous_weight(organisation: &str, member: u64) -> u64 {
-    let mut hasher = Xxh3::with_seed(member);
-    hasher.write(organisation.as_bytes());
-    hasher.finish()
-}
-
 impl QuotaState {
-    fn set_hosts(&mut self, now: MilliTime, hosts: usize) {
+    pub(super) fn set_hosts(&mut self, now: MilliTime, hosts: usize) {
         if hosts < self.hosts {
             self.former_hosts.push((now, self.hosts));
             self.former_hosts.retain(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
@@ -93,7 +106,7 @@
 
     /// The number of hosts by which rates are divided: the largest in any view that another daemon
     /// may still hold.
-    fn divisor(&self, now: MilliTime) -> usize {
+    pub(super) fn divisor(&self, now: MilliTime) -> usize {
         let former = self.former_hosts.iter().filter(|(until, _)| now.since(*until) < VIEW_AGE_MAX);
         former.map(|(_, count)| *count).max().unwrap_or(0).max(self.hosts)
     }
@@ -102,7 +115,7 @@
 impl OrganisationQuota {
     /// Updates whether this daemon refills. A host that was one when it started was counted by all
     /// others; a new one waits until every older view has expired.
-    fn update_host(&mut self, now: MilliTime, is_host: bool, was_listed: bool) {
+    pub(super) fn update_host(&mut self, now: MilliTime, is_host: bool, was_listed: bool) {
         let is_first = !std::mem::replace(&mut self.has_exchanged, true);
         if !is_host {
             self.refill_from = None;
@@ -112,17 +125,14 @@
         }
     }
 
-    fn can_refill(&self, now: MilliTime) -> bool {
-        self.refill_from.is_some_and(|from| now >= from)
+    /// The cutoff that this daemon states as the pool.
+    pub(super) fn pool_cutoff(&mut self, now: MilliTime, terms: RateTerms) -> Option<TokenCutoff> {
+        self.ledger.cutoff(now, terms, self.share.tokens())
     }
-}
 
-/// The hosts of an organisation, the first one first.
-fn organisation_hosts(organisation: &str, hosts: &[PoolHost]) -> Vec<PoolHost> {
-    let mut hosts = hosts.to_vec();
-    hosts.sort_by_key(|host| std::cmp::Reverse(rendezvous_weight(organisation, host.key)));
-    hosts.truncate(HOSTS_PER_ORGANISATION);
-    hosts
+    pub(super) fn can_refill(&self, now: MilliTime) -> bool {
+        self.refill_from.is_some_and(|from| now >= from)
+    }
 }
 
 impl QuotaTable {
@@ -148,44 +158,56 @@
                 let quota = state.quotas.entry(organisation.name.clone());
                 quota.or_insert_with(|| OrganisationQuota {
                     share: TokenShare::new(now, terms.spread_over(self.window)),
+                    scarcity: TokenScarcity::new(now),
+                    ledger: DemandLedger::default(),
+                    was_scarce: false,
                     pool: self.own_key,
                     refill_from: None,
                     has_exchanged: false,
-                    waiting: 0,
+                    waiting: SmallVec::new(),
                     backoff_until: MilliTime(0),
                 });
             }
         }
     }
 
-    /// Takes a token for a request, waiting briefly for one from the pool. `false` if none is
-    /// available: the organisation is over its rate as far as this daemon can determine.
+    /// Takes a token for a request, waiting briefly for one from the pool. Fails if none is
+    /// available: the organisation is over its rate as far as this daemon can determine, or the
+    /// tokens go to its more urgent requests.
     pub(crate) async fn admit(
         &self,
         shared: &SidecarShared,
         organisation: &FleetOrganisation,
-    ) -> bool {
-        let Some(terms) = organisation.rate else {
-            return true;
-        };
-        let Some(pool) = self.take_or_pool(organisation, terms) else {
-            return true;
-        };
-        let Some(pool) = pool else {
-            return false;
+        urgency: TokenUrgency,
+    ) -> Result<(), QuotaRefusal> {
+        if organisation.rate.is_none() {
+            return Ok(());
+        }
+        let pool = match self.take(organisation, urgency) {
+            TokenStep::Admitted => return Ok(()),
+            TokenStep::Refused(refusal) => return Err(refusal),
+            TokenStep::Borrow(pool) => pool,
         };
-        let mut wait = TokenWait { table: self, organisation, has_timed_out: false };
-        self.request_tokens(shared, pool, organisation);
-        let is_admitted = self.wait_token(organisation).await;
-        wait.has_timed_out = !is_admitted;
-        is_admitted
+        let mut wait = TokenWait { table: self, organisation, urgency, has_timed_out: false };
+        self.request_tokens(shared, pool, organisation, urgency);
+        if self.wait_token(organisation, urgency).await {
+            return Ok(());
+        }
+        wait.has_timed_out = true;
+        let now = self.clock.now();
+        let state = self.lock();
+        let quota = state.quotas.get(&organisation.name);
+        let cutoff = quota.and_then(|quota| quota.scarcity.cutoff(now));
+        let tokens_in = cutoff.map(|cutoff| cutoff.tokens_in(urgency));
+        drop(state);
+        Err(QuotaRefusal { tokens_in, is_cut_off: false })
     }
 
-    async fn wait_token(&self, organisation: &FleetOrganisation) -> bool {
+    async fn wait_token(&self, organisation: &FleetOrganisation, urgency: TokenUrgency) -> bool {
         let deadline = Instant::now() + BORROW_TIMEOUT;
         loop {
             let received = self.received.notified();
-            if self.take_received(organisation) {
+            if self.take_received(organisation, urgency) {
                 return true;
             }
             if timeout_at(deadline, received).await.is_err() {
@@ -202,13 +224,18 @@
             return "no rate configured".to_owned();
         };
         let terms = organisation.rate.unwrap_or(RateTerms { per_second: 0.0, burst: 0.0 });
+        let cutoff = quota.scarcity.cutoff(now).map(|cutoff| {
+            let percent = cutoff.fraction * 100.0;
+            format!(", {percent:.0}% of the {} admitted", cutoff.urgency)
+        });
         format!(
-            "{:.2} local tokens, rate {}/s over {} hosts, refill {}, pool {}",
+            "{:.2} local tokens, rate {}/s over {} hosts, refill {}, pool {}{}",
             quota.share.tokens(),
             terms.per_second,
             state.divisor(now),
             quota.can_refill(now),
             if quota.pool == self.own_key { "here" } else { "asked" },
+            cutoff.unwrap_or_default(),
         )
     }
 
@@ -248,43 +275,107 @@
         lent
     }
 
-    /// Takes a token and returns `None`; without a token returns the pool to borrow from, if any.
-    fn take_or_pool(
-        &self,
-        organisation: &FleetOrganisation,
-        terms: RateTerms,
-    ) -> Option<Option<u64>> {
+    /// Records the demand that other daemons reported, and answers with the cutoffs.
+    pub(crate) fn observe_demand(&self, demands: &[TokenDemand]) -> Vec<OrganisationCutoff> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut cutoffs = Vec::with_capacity(demands.len());
+        for demand in demands {
+            if let Some(quota) = state.quotas.get_mut(&demand.organisation) {
+                quota.ledger.observe(now, &demand.counts);
+                let cutoff = quota.pool_cutoff(now, quota.share.terms());
+                cutoffs
+                    .push(OrganisationCutoff { organisation: demand.organisation.clone(), cutoff });
+            }
+        }
+        cutoffs
+    }
+
+    /// The cutoffs in force of the organisations whose tokens another daemon transfers or requests.
+    pub(crate) fn cutoffs(&self, amounts: &[TokenAmount]) -> Vec<OrganisationCutoff> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut cutoffs = Vec::new();
+        for amount in amounts {
+            let quota = state.quotas.get_mut(&amount.organisation);
+            let cutoff = quota.and_then(|quota| quota.pool_cutoff(now, quota.share.terms()));
+            if cutoff.is_some() {
+                cutoffs
+                    .push(OrganisationCutoff { organisation: amount.organisation.clone(), cutoff });
+            }
+        }
+        cutoffs
+    }
+
+    /// Records the cutoffs that a pool states.
+    pub(crate) fn set_cutoffs(&self, cutoffs: &[OrganisationCutoff]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for stated in cutoffs {
+            if let Some(quota) = state.quotas.get_mut(&stated.organisation) {
+                quota.scarcity.set_cutoff(now, stated.cutoff);
+            }
+        }
+    }
+
+    /// Takes a token, unless those left are for more urgent requests.
+    fn take(&self, organisation: &FleetOrganisation, urgency: TokenUrgency) -> TokenStep {
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(quota) = state.quotas.get_mut(&organisation.name) else {
-            return Some(None);
+            return TokenStep::Refused(QuotaRefusal { tokens_in: None, is_cut_off: false });
         };
-        debug_assert!(terms.per_second > 0.0);
-        if quota.share.take(now) {
-            return None;
+        let is_passed = quota.scarcity.arrive(now, urgency, rand::random::<f64>());
+        if is_passed && quota.share.take(now) {
+            return TokenStep::Admitted;
         }
-        let can_borrow = quota.pool != self.own_key && now >= quota.backoff_until;
-        Some(can_borrow.then_some(quota.pool))
+        if is_passed {
+            quota.scarcity.record_short(now);
+            if quota.pool != self.own_key && now >= quota.backoff_until {
+                return TokenStep::Borrow(quota.pool);
+            }
+        }
+        let tokens_in = quota.scarcity.cutoff(now).map(|cutoff| cutoff.tokens_in(urgency));
+        TokenStep::Refused(QuotaRefusal { tokens_in, is_cut_off: !is_passed })
     }
 
-    fn take_received(&self, organisation: &FleetOrganisation) -> bool {
+    /// Takes a token for a waiting request, unless more urgent ones wait for those received.
+    fn take_received(&self, organisation: &FleetOrganisation, urgency: TokenUrgency) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        let quota = state.quotas.get_mut(&organisation.name);
-        quota.is_some_and(|quota| quota.share.take_uncounted(now))
+        let Some(quota) = state.quotas.get_mut(&organisation.name) else {
+            return false;
+        };
+        let preferred = quota.waiting.iter().filter(|waiting| **waiting < urgency).count();
+        let has_rest = preferred == 0 || quota.share.tokens() >= preferred as f64 + 1.0;
+        has_rest && quota.share.take_uncounted(now)
     }
 
-    fn end_wait(&self, organisation: &FleetOrganisation, has_timed_out: bool) {
+    fn end_wait(
+        &self,
+        organisation: &FleetOrganisation,
+        urgency: TokenUrgency,
+        has_timed_out: bool,
+    ) {
         let now = self.clock.now();
         if let Some(quota) = self.lock().quotas.get_mut(&organisation.name) {
-            quota.waiting = quota.waiting.saturating_sub(1);
+            let place = quota.waiting.iter().position(|waiting| *waiting == urgency);
+            if let Some(place) = place {
+                quota.waiting.swap_remove(place);
+            }
             if has_timed_out {
                 quota.backoff_until = now + EMPTY_POOL_BACKOFF;
             }
         }
     }
 
-    fn request_tokens(&self, shared: &SidecarShared, pool: u64, organisation: &FleetOrganisation) {
+    fn request_tokens(
+        &self,
+        shared: &SidecarShared,
+        pool: u64,
+        organisation: &FleetOrganisation,
+        urgency: TokenUrgency,
+    ) {
         let now = self.clock.now();
         let shortage = {
             let mut state = self.lock();
@@ -292,8 +383,8 @@
                 return;
             };
             // Each waiting request needs its own token.
-            let others = f64::from(quota.waiting);
-            quota.waiting += 1;
+            let others = quota.waiting.len() as f64;
+            quota.waiting.push(urgency);
             quota.share.shortage(now).map(|tokens| tokens + others)
         };
         if let (Some(tokens), Some(link)) = (shortage, shared.peers.linked(pool)) {
@@ -302,85 +393,7 @@
         }
     }
 
-    /// Updates the shares and returns the surplus and the token requests for each pool.
-    fn exchange(
-        &self,
-        config: &FleetConfig,
-        hosts: &[PoolHost],
-        directory: &TopicView,
-    ) -> HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> {
-        let now = self.clock.now();
-        let mut transfers: HashMap<u64, (Vec<TokenAmount>, Vec<TokenAmount>)> = HashMap::new();
-        let mut state = self.lock();
-        let has_fresh_view = directory.is_fresh(now, VIEW_AGE_MAX);
-        let Some(was_listed) = state.was_listed else {
-            return transfers;
-        };
-        state.set_hosts(now, hosts.len().min(HOSTS_PER_ORGANISATION));
-        let divisor = state.divisor(now);
-        for (name, quota) in &mut state.quotas {
-            let Some(terms) = config.organisation(name).and_then(|found| found.rate) else {
-                continue;
-            };
-            let hosts = organisation_hosts(name, hosts);
-            let pool = hosts.iter().find(|host| host.is_reachable);
-            quota.pool = pool.map_or(self.own_key, |host| host.key);
-            let is_pool = quota.pool == self.own_key;
-            let is_host = hosts.iter().any(|host| host.key == self.own_key);
-            let starts = was_listed && !quota.has_exchanged && is_host;
-            quota.update_host(now, is_host, was_listed);
-            let spread = terms.spread_over(self.window);
-            let can_refill = has_fresh_view && quota.can_refill(now);
-            quota.share.set_terms(now, spread, divisor, can_refill, is_pool);
-            if starts {
-                let is_first = hosts.first().is_some_and(|host| host.key == self.own_key);
-                let granted = if is_first { terms.start_grant(self.window) } else { 0.0 };
-                quota.share.start(granted, rand::random::<f64>());
-            }
-            if let Some(tokens) = quota.share.take_surplus(now) {
-                let amount = TokenAmount { organisation: name.clone(), tokens };
-                transfers.entry(quota.pool).or_default().0.push(amount);
-            } else if let Some(tokens) = quota.share.expected_shortage(now) {
-                let amount = TokenAmount { organisation: name.clone(), tokens };
-                transfers.entry(quota.pool).or_default().1.push(amount);
-            }
-        }
-        transfers
-    }
-
-    fn lock(&self) -> MutexGuard<'_, QuotaState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, QuotaState> {
         self.state.lock().expect("lock not poisoned")
     }
 }
-
-/// Exchanges tokens with the pools until the task is aborted.
-pub(crate) async fn exchange_tokens(shared: Arc<SidecarShared>) {
-    let mut ticks = interval(EXCHANGE_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut changes = shared.store_view.subscribe();
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            // A starting daemon grants tokens as soon as it knows the rates and the hosts.
-            _ = changes.changed() => {}
-        }
-        let Some(config) = shared.config() else {
-            continue;
-        };
-        let hosts = shared.peers.pool_hosts();
-        for (pool, (surplus, requests)) in
-            shared.quota.exchange(&config, &hosts, &shared.store_view.directory)
-        {
-            let Some(link) = shared.peers.linked(pool) else {
-                // The link to the pool ended meanwhile: the surplus is lost.
-                continue;
-            };
-            if !surplus.is_empty() {
-                link.send(PeerMessage::Tokens(surplus));
-            }
-            if !requests.is_empty() {
-                link.send(PeerMessage::RequestTokens(requests));
-            }
-        }
-    }
-}
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -76,6 +76,8 @@
     pub suspects: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
+    /// Organisations whose tokens are scarce, as the pools state.
+    pub scarce_organisations: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -150,6 +152,12 @@
             "Requests that ran at backend servers that ended, and have not ended well since",
             suspects.clone(),
         );
+        let scarce_organisations = Gauge::default();
+        registry.register(
+            "scarce_organisations",
+            "Organisations with a demand above their rate, as this daemon knows",
+            scarce_organisations.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -165,6 +173,7 @@
             suspects,
             is_limited,
             limit_per_second,
+            scarce_organisations,
         }
     }
 }
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -18,13 +18,14 @@
 use super::trace::RequestTrace;
 use crate::clock::MilliTime;
 use crate::error::ResultCode;
-use crate::policy::caller_retry::retry_delay;
+use crate::policy::caller_retry::{retry_delay, token_retry_delay};
 use crate::policy::crash_ledger::RequestStanding;
 use crate::policy::request_identity::{RequestContents, RequestIdentity};
 use crate::policy::request_rank::RequestRank;
 use crate::policy::retry_allowance::hash_fraction;
 use crate::policy::root_admission::{RootDecision, RootGroup, RootLimit};
 use crate::policy::route_success::RECOVERY_TIME;
+use crate::policy::token_priority::TokenUrgency;
 use crate::request::header::{end_to_end, parse_number};
 use crate::sidecar::connection::backend_pool::header_pairs;
 use crate::sidecar::process::backend_admission::RunRecord;
@@ -293,12 +294,22 @@
     organisation: &FleetOrganisation,
     identified: &IdentifiedRequest,
 ) -> Result<(), RequestRefusal> {
-    if shared.quota.admit(shared, organisation).await {
+    let urgency = TokenUrgency::of(identified.rank, identified.is_retry);
+    let Err(refused) = shared.quota.admit(shared, organisation, urgency).await else {
         return Ok(());
-    }
+    };
+    shared.metrics.count(match refused.is_cut_off {
+        true => "rate_refused_for_urgent",
+        false => "rate_refused_no_token",
+    });
     let reason = shared.quota.describe(organisation);
     let refusal = RequestRefusal::new(ResultCode::RateExceeded, reason);
-    Err(refusal.retry_after(caller_retry_delay(shared, identified, None)))
+    let Some(tokens_in) = refused.tokens_in else {
+        return Err(refusal.retry_after(caller_retry_delay(shared, identified, None)));
+    };
+    let remaining = identified.deadline.until(shared.clock.now());
+    let delay = token_retry_delay(remaining, tokens_in, rand::random::<f64>());
+    Err(refusal.retry_after(delay))
 }
 
 /// Admits a root if recent runs of its route succeeded and the services it calls have capacity;
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -17,5 +17,6 @@
 mod roots;
 mod shed;
 mod stop_schedule;
+mod token_surge;
 mod tokens;
 mod topic_position;
