Decode the configuration entry by entry; the last readable version stays in force

Cause: one entry of an unknown shape or kind made a whole version unreadable. A daemon that restarted while the store held only a rejected version took that read for a proof and never asked its peers. Where daemons of two releases shared a reader, a version that the reader could not read was passed over by all (a key that it withdraws stayed valid), and a daemon that could not read the version of its peers got no proof from them.

Change: entries are raw values that are decoded one by one; one that does not decode is left out, listed, logged (configuration-entry-unreadable) and counted (lentilway_configuration_unreadable_entries). A route of an unknown kind is served at most once. ConfigState records rejected versions: they account for the floor and the claims of others, and nothing is proven while nothing is in force. ConfigReport passes a rejected record on once per link, for receivers of another release. A rejected version is logged once, with its number.

--- a/src/policy/config_state.rs
+++ b/src/policy/config_state.rs
@@ -3,6 +3,9 @@
 //! Handles reads of the store and reports of other daemons that arrive late or across a return of
 //! the store from a copy. Versions order the contents, whatever their source; the position in the
 //! store only tells from where to read on.
+//!
+//! Also handles fleets of mixed releases, in which some daemons cannot read the newest version: the
+//! last one that they can read stays in force there, and is proven as before.
 
 use std::time::Duration;
 
@@ -54,6 +57,8 @@
     /// The version known when the newest era began.
     first_version: u64,
     freshness: FreshnessProof,
+    /// The highest version that cannot be read here; 0 if its number cannot be read either.
+    rejected: Option<u64>,
 }
 
 impl ConfigState {
@@ -62,6 +67,22 @@
         self.version
     }
 
+    /// Records that a version cannot be read here; `None` if its number cannot be read either.
+    pub fn reject(&mut self, version: Option<u64>) {
+        self.rejected = self.rejected.max(Some(version.unwrap_or_default()));
+    }
+
+    /// Whether `version` is in force here, or an earlier one because it cannot be read here.
+    fn accounts_for(&self, version: u64) -> bool {
+        self.version >= version || (self.version > 0 && self.rejected >= Some(version))
+    }
+
+    /// Whether a proof counts. Where nothing is in force because all that was read is unreadable, it
+    /// would keep the daemon from asking others for the last version that can be read.
+    fn takes_proof(&self) -> bool {
+        self.version > 0 || self.rejected.is_none()
+    }
+
     /// The position from which the store is read on; `None` if only a snapshot leads on.
     pub fn read_position(&self) -> Option<StorePosition> {
         self.position.read_position()
@@ -118,20 +139,22 @@
         let is_newer = self.offer(read.found);
         let is_current = !self.position.is_behind(read.position);
         self.position.reach_by_read(read.position);
-        let proven = read.proven.filter(|_| is_current && self.version >= read.floor);
+        let is_complete = self.takes_proof() && self.accounts_for(read.floor);
+        let proven = read.proven.filter(|_| is_current && is_complete);
         if let Some(proven) = proven {
             self.freshness.prove(proven);
         }
         ConfigChange { is_newer, is_proof: proven.is_some() }
     }
 
-    /// Merges what another daemon knows. It counts only once its version is known here, too.
+    /// Merges what another daemon knows. It counts only once its version is known here, too, be it as
+    /// one that cannot be read.
     pub fn merge_claim(&mut self, claim: &ConfigClaim) -> ConfigChange {
         if let Some(position) = claim.position {
             self.enter_era(position.era);
         }
         let is_newer = self.offer(claim.found);
-        if self.version < claim.version {
+        if !self.accounts_for(claim.version) || !self.takes_proof() {
             return ConfigChange { is_newer, is_proof: false };
         }
         if let Some(position) = claim.position {
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -123,6 +123,8 @@
     pub(crate) age_millis: Option<u32>,
     /// The record of the version, if the receiver lacks it.
     pub(crate) record: Option<Bytes>,
+    /// A record before `position` that the sender cannot read, but a receiver of another release may.
+    pub(crate) unread: Option<Bytes>,
 }
 
 /// What the sender knows of a topic.
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
@@ -55,6 +56,8 @@
     asked: Option<MilliTime>,
     version: u64,
     directory: Option<StorePosition>,
+    /// The last record sent that this daemon cannot read; it is sent once.
+    unread: Option<Bytes>,
 }
 
 impl RecordFollower {
@@ -72,7 +75,12 @@
     ) -> PeerMessage {
         self.version = shared.store_view.configuration.version().max(version);
         self.directory = shared.store_view.directory.cursor().max(directory);
-        shared.store_reports(number, version, directory)
+        let mut reports = shared.store_reports(number, version, directory);
+        if let PeerMessage::Records { configuration: Some(report), .. } = &mut reports {
+            let unread = report.unread.take_if(|unread| self.unread.as_ref() == Some(unread));
+            self.unread = unread.or_else(|| report.unread.clone());
+        }
+        reports
     }
 
     /// The records that changed since the last message, if the daemon asked for any lately.
--- a/src/sidecar/process/config_copy.rs
+++ b/src/sidecar/process/config_copy.rs
@@ -17,10 +17,20 @@
     pub(crate) record: Bytes,
 }
 
+/// A record of the configuration that cannot be read here.
+#[derive(Debug)]
+struct UnreadRecord {
+    version: Option<u64>,
+    record: Bytes,
+    /// Whether no later version is in force.
+    is_newest: bool,
+}
+
 #[derive(Debug, Default)]
 struct CopyState {
     known: ConfigState,
     newest: Option<VersionRecord>,
+    unread: Option<UnreadRecord>,
 }
 
 impl CopyState {
@@ -33,6 +43,10 @@
         if change.is_newer {
             apply();
             self.newest = found;
+            let in_force = self.known.version();
+            if let Some(unread) = &mut self.unread {
+                unread.is_newest &= unread.version.is_some_and(|version| version > in_force);
+            }
         }
         change.is_proof
     }
@@ -50,6 +64,26 @@
         self.lock().known.version()
     }
 
+    /// Records that a version cannot be read here; `None` if its number cannot be read either. Returns
+    /// whether it is another record than the last one.
+    pub(crate) fn reject(&self, version: Option<u64>, record: &Bytes) -> bool {
+        let mut state = self.lock();
+        if state.unread.as_ref().is_some_and(|unread| unread.record == record) {
+            return false;
+        }
+        let is_newest = version.is_none_or(|version| version > state.known.version());
+        if is_newest {
+            state.known.reject(version);
+            state.unread = Some(UnreadRecord { version, record: record.clone(), is_newest });
+        }
+        true
+    }
+
+    /// Whether this is the last record that could not be read here.
+    pub(crate) fn is_rejected(&self, record: &Bytes) -> bool {
+        self.lock().unread.as_ref().is_some_and(|unread| unread.record == record)
+    }
+
     /// The position from which the store is read on; `None` if only a snapshot leads on.
     pub(crate) fn read_position(&self) -> Option<StorePosition> {
         self.lock().known.read_position()
@@ -138,11 +172,13 @@
         let age_millis =
             state.known.age(now).map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         let newest = state.newest.as_ref().filter(|newest| newest.version > version);
+        let unread = state.unread.as_ref().filter(|unread| unread.is_newest);
         Some(ConfigReport {
             version: state.known.version(),
             position: state.known.read_position(),
             age_millis,
             record: newest.map(|newest| newest.record.clone()),
+            unread: unread.map(|unread| unread.record.clone()),
         })
     }
 
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -76,6 +76,8 @@
     pub suspects: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
+    /// Entries of the configuration in force that are left out or served with restrictions.
+    pub unreadable_entries: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -150,6 +152,12 @@
             "Requests that ran at backend servers that ended, and have not ended well since",
             suspects.clone(),
         );
+        let unreadable_entries = Gauge::default();
+        registry.register(
+            "configuration_unreadable_entries",
+            "Entries of the configuration in force that are left out or served with restrictions",
+            unreadable_entries.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -165,6 +173,7 @@
             suspects,
             is_limited,
             limit_per_second,
+            unreadable_entries,
         }
     }
 }
--- a/src/sidecar/process/wire_dialect.rs
+++ b/src/sidecar/process/wire_dialect.rs
@@ -108,9 +108,13 @@
     /// The availability zone whose evacuation a record of the operators' topic requests.
     fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str>;
 
-    /// Decodes a version of the configuration.
+    /// Decodes a version of the configuration; entries that cannot be decoded are left out and listed.
     ///
     /// # Errors
     /// [`DecodeError`] if the configuration is invalid.
     fn config(&self, bytes: &[u8]) -> Result<FleetConfig, DecodeError>;
+
+    /// The number of a version that [`WireDialect::config`] rejects; `None` if it cannot be decoded
+    /// either.
+    fn config_version(&self, bytes: &[u8]) -> Option<u64>;
 }
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -25,9 +25,19 @@
 #[derive(Serialize)]
 struct ConfigErrorLine {
     source: ConfigSource,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<u64>,
     problem: String,
 }
 
+#[derive(Serialize)]
+struct EntryErrorLine<'a> {
+    version: u64,
+    entry_kind: &'a str,
+    name: &'a str,
+    problem: &'a str,
+}
+
 /// Where a record of the configuration came from.
 #[derive(Clone, Copy, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -52,7 +62,7 @@
     let records = read.records.into_iter().filter(|record| record.key == key);
     let values = records.filter_map(|record| record.value);
     let versions =
-        values.filter_map(|value| decode(shared, ConfigSource::Store, Bytes::from(value)));
+        values.filter_map(|value| decode(shared, ConfigSource::Store, None, Bytes::from(value)));
     let newest = versions.max_by_key(|(_, found)| found.version);
     let (config, found) = newest.unzip();
     let apply = || apply(shared, ConfigSource::Store, config);
@@ -68,16 +78,24 @@
 ) {
     let is_newer = report.version > shared.config_version();
     let record = report.record.clone().filter(|_| is_newer);
-    let decoded = record.and_then(|record| decode(shared, ConfigSource::Peer, record));
-    let (config, found) = decoded.unzip();
+    // A record that the other daemon cannot read may be one of this daemon's release.
+    let is_new = |record: &Bytes| !shared.store_view.configuration.is_rejected(record);
+    let record = record.map(|record| (Some(report.version), record));
+    let unread = report.unread.clone().map(|record| (None, record));
+    let records = record.into_iter().chain(unread).filter(|(_, record)| is_new(record));
+    let decoded =
+        records.filter_map(|(stated, record)| decode(shared, ConfigSource::Peer, stated, record));
+    let (config, found) = decoded.max_by_key(|(_, found)| found.version).unzip();
     let apply = || apply(shared, ConfigSource::Peer, config);
     shared.store_view.configuration.merge_report(requested, report, found, apply);
 }
 
-/// Decodes a version; one that cannot be decoded is logged and skipped.
+/// Decodes a version, whose number another daemon may have stated. One that cannot be decoded is logged
+/// once, and the last one stays in force.
 fn decode(
     shared: &SidecarShared,
     source: ConfigSource,
+    stated: Option<u64>,
     record: Bytes,
 ) -> Option<(FleetConfig, VersionRecord)> {
     match shared.dialect.config(&record) {
@@ -86,8 +104,11 @@
             Some((config, VersionRecord { version, record }))
         }
         Err(error) => {
-            let line = ConfigErrorLine { source, problem: error.to_string() };
-            shared.log.write(LineCategory::Failure, "configuration-unreadable", &line);
+            let version = shared.dialect.config_version(&record).or(stated);
+            if shared.store_view.configuration.reject(version, &record) {
+                let line = ConfigErrorLine { source, version, problem: error.to_string() };
+                shared.log.write(LineCategory::Failure, "configuration-unreadable", &line);
+            }
             None
         }
     }
@@ -99,8 +120,23 @@
     };
     let (version, routes) = (config.version, config.route_count());
     let previous = shared.config_version();
+    report_unreadable(shared, &config);
     shared.apply_config(config);
     shared.store_view.notify_change();
     let line = ConfigLine { version, previous, routes, source };
     shared.log.write(LineCategory::Change, "configuration", &line);
 }
+
+/// Logs the entries of a version that are left out or served with restrictions, and shows their number.
+fn report_unreadable(shared: &SidecarShared, config: &FleetConfig) {
+    for entry in &config.unreadable {
+        let line = EntryErrorLine {
+            version: config.version,
+            entry_kind: &entry.kind,
+            name: &entry.name,
+            problem: &entry.problem,
+        };
+        shared.log.write(LineCategory::Failure, "configuration-entry-unreadable", &line);
+    }
+    shared.metrics.unreadable_entries.set(config.unreadable.len().try_into().unwrap_or(i64::MAX));
+}
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,6 +1,7 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
 mod bounded_connections;
+mod config_reading;
 mod copied_refusals;
 mod crashes;
 mod dropped_positions;
@@ -14,8 +15,10 @@
 mod leaves;
 mod limits;
 mod links;
+mod log_output;
 mod merged_answers;
 mod odd_entries;
+mod older_release;
 mod outcomes;
 mod planned_server;
 mod replica;
