--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -78,6 +78,8 @@
     limit_per_second: Gauge<f64, AtomicU64>,
     /// Organisations whose tokens are scarce, as the pools state.
     pub scarce_organisations: Gauge,
+    /// Entries of the configuration in force that are left out or served with restrictions.
+    pub unreadable_entries: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -158,6 +160,12 @@
             "Organisations with a demand above their rate, as this daemon knows",
             scarce_organisations.clone(),
         );
+        let unreadable_entries = Gauge::default();
+        registry.register(
+            "configuration_unreadable_entries",
+            "Entries of the configuration in force that are left out or served with restrictions",
+            unreadable_entries.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -174,6 +182,7 @@
             is_limited,
             limit_per_second,
             scarce_organisations,
+            unreadable_entries,
         }
     }
 }
