Bound the requests to a cold backend server in any second

Cause: open_admission returned early for a repeated heartbeat, so a server that became cold later was not noticed, and nothing limited the requests to a cold server.

Change: policy/backend_pace.rs keeps a sliding bound over all sends of the daemon beside the server and paces them at the stated rate while the server is cold. Heartbeats and health answers state the end, the later one applies. Health checks run where the configuration states a limit, at an interval that follows from the requests sent; what was sent since the last check that found the server warm stays within the bound too. A new incarnation counts as cold until it reports, and a restarted daemon assumes that the former process has just used up the bound.

--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -6,13 +6,14 @@
 //! the run continues after it. A request that cannot finish in time at the measured service time
 //! is refused at once instead of after a wait.
 //!
-//! Also handles a backend server that limits the rate of its requests: they wait only briefly, so
-//! that the others can go to its peers while there is time.
+//! Also handles a backend server that limits the rate of its requests or is cold: they wait only
+//! briefly, so that the others can go to its peers while there is time.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::backend_notice::RequestLimit;
+use super::backend_pace::BackendPace;
 use super::moving_average::{FailureFraction, RateAverage, SampleAverage};
 use super::placement::InstanceLoad;
 use super::request_pacer::RequestPacer;
@@ -116,6 +117,8 @@
     slots: usize,
     /// Present while the backend server limits its requests.
     pacer: Option<RequestPacer>,
+    /// The limit of a cold backend server.
+    pace: BackendPace,
     running: usize,
     waiting: BTreeMap<WaitTicket, AdmissionRequest>,
     next_number: u64,
@@ -132,6 +135,7 @@
         AdmissionQueue {
             slots: 0,
             pacer: None,
+            pace: BackendPace::default(),
             running: 0,
             waiting: BTreeMap::new(),
             next_number: 0,
@@ -157,6 +161,16 @@
         }
     }
 
+    /// The pace of the requests.
+    pub fn pace(&self) -> &BackendPace {
+        &self.pace
+    }
+
+    /// The pace of the requests, to be told of reports and health checks.
+    pub fn pace_mut(&mut self) -> &mut BackendPace {
+        &mut self.pace
+    }
+
     /// Discards service times and failures when another backend server takes over.
     pub fn reset_measurements(&mut self, now: MilliTime) {
         self.call_millis = SampleAverage::new(SERVICE_SAMPLE_WEIGHT);
@@ -229,9 +243,8 @@
 
     /// Time until a waiting request gets a token; `None` if no request waits for one.
     pub fn paced_wait(&self, now: MilliTime) -> Option<Duration> {
-        let pacer = self.pacer.as_ref()?;
         let waits = !self.waiting.is_empty() && self.running < self.limit();
-        waits.then(|| pacer.wait(now, 0))
+        self.token_wait(now, 0).filter(|_| waits)
     }
 
     /// Removes the waiting requests that can no longer finish in time, and those that more urgent
@@ -261,6 +274,7 @@
     /// Frees the slot and the token of a request that was not sent.
     pub fn cancel_start(&mut self) {
         self.release();
+        self.pace.put_back();
         if let Some(pacer) = &mut self.pacer {
             pacer.put_back();
         }
@@ -313,18 +327,30 @@
     fn usable_slots(&self, now: MilliTime) -> f64 {
         let limit = self.limit().max(1) as f64;
         let pacer = self.pacer.as_ref().filter(|pacer| pacer.idle_time(now) < PACED_IDLE_MAX);
-        let paced = pacer.map(|pacer| pacer.rate() * self.service_mean() / 1_000.0);
-        paced.map_or(limit, |paced| paced.min(limit))
+        let rates = [pacer.map(RequestPacer::rate), self.pace.rate(now)];
+        let paced = rates.into_iter().flatten().map(|rate| rate * self.service_mean() / 1_000.0);
+        paced.fold(limit, f64::min)
     }
 
     fn take_token(&mut self, now: MilliTime) -> bool {
-        self.pacer.as_mut().is_none_or(|pacer| pacer.take(now))
+        let is_taken =
+            self.pace.admits(now) && self.pacer.as_mut().is_none_or(|pacer| pacer.take(now));
+        if is_taken {
+            self.pace.count_send(now);
+        }
+        is_taken
+    }
+
+    /// Time until a request with `ahead` others before it gets a token; `None` if none is needed.
+    fn token_wait(&self, now: MilliTime, ahead: usize) -> Option<Duration> {
+        let limited = self.pacer.as_ref().map(|pacer| pacer.wait(now, ahead));
+        limited.max(self.pace.wait(now, ahead))
     }
 
     /// Whether a request waits longer than `bound` for a token of a limited backend server.
     fn is_paced_out(&self, now: MilliTime, ahead: usize, bound: Duration) -> bool {
-        let waits_long = |pacer: &RequestPacer| pacer.wait(now, ahead) > bound;
-        ahead >= PACED_WAITING_MIN && self.pacer.as_ref().is_some_and(waits_long)
+        let waits_long = |wait| wait > bound;
+        ahead >= PACED_WAITING_MIN && self.token_wait(now, ahead).is_some_and(waits_long)
     }
 
     fn service_millis(&self, is_root: bool) -> f64 {
@@ -355,7 +381,8 @@
         let end = if request.due > now { request.due } else { request.deadline };
         let fraction = if request.rank.is_root { 1.0 } else { CALL_TIME_FRACTION };
         let remaining = end.until(now).mul_f64(fraction).saturating_sub(self.needed_time(request));
-        let step = if self.pacer.is_some() { PACED_PRIORITY_STEP } else { PRIORITY_STEP };
+        let is_paced = self.pacer.is_some() || self.pace.rate(now).is_some();
+        let step = if is_paced { PACED_PRIORITY_STEP } else { PRIORITY_STEP };
         now + remaining + step * u32::from(request.rank.priority.min(PRIORITY_MAX))
     }
 
@@ -364,7 +391,7 @@
     fn expected_wait(&self, now: MilliTime, ahead: usize) -> Duration {
         let per_request = self.service_mean() / 1_000.0 / self.limit().max(1) as f64;
         let wait = Duration::from_secs_f64(per_request * (ahead + 1) as f64);
-        self.pacer.as_ref().map_or(wait, |pacer| wait.max(pacer.wait(now, ahead)))
+        self.token_wait(now, ahead).map_or(wait, |paced| wait.max(paced))
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission_queue;
 pub mod answer_verdict;
 pub mod backend_notice;
+pub mod backend_pace;
 pub mod body_limit;
 pub mod caller_retry;
 pub mod config_state;
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -7,16 +7,16 @@
 
 use hyper::HeaderMap;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::backend_call::BackendCall;
-use crate::clock::{MilliClock, MilliTime};
+use crate::clock::{MilliClock, MilliTime, wall_time};
 use crate::policy::admission_queue::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
     WaitTicket,
 };
-use crate::policy::backend_notice::RequestLimit;
+use crate::policy::backend_pace::ColdTerms;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::retry_allowance::{RetryAllowance, RetryClaim, RetryTerms};
@@ -29,8 +29,6 @@
 
 /// Shortest time between notifications of a changed load.
 const NOTIFY_INTERVAL: Duration = Duration::from_millis(300);
-/// Shortest sleep until a token of a limited backend server is free: the resolution of the clock.
-const PACED_WAIT_MIN: Duration = Duration::from_millis(1);
 /// Extra wait after the deadline passed to the backend server, for its answer to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
@@ -58,12 +56,14 @@
 }
 
 #[derive(Debug)]
-struct AdmissionState {
-    queue: AdmissionQueue,
+pub(super) struct AdmissionState {
+    pub(super) queue: AdmissionQueue,
     waiters: HashMap<WaitTicket, oneshot::Sender<WaitOutcome>>,
     retries: RetryAllowance,
     runs: RunRegistry<Arc<RunRecord>>,
-    target: Option<BackendTarget>,
+    pub(super) target: Option<BackendTarget>,
+    /// The incarnation that announced itself last.
+    announced: Option<BackendIncarnation>,
     /// The last incarnation of the backend server that ended without notice.
     ended: Option<BackendIncarnation>,
     /// The daemon is stopping: admission is never opened again.
@@ -73,14 +73,18 @@
 /// Admits requests to the backend server and runs them there.
 #[derive(Debug)]
 pub(crate) struct BackendAdmission {
-    clock: MilliClock,
+    pub(super) clock: MilliClock,
     service: Arc<str>,
+    /// When this process started, in milliseconds since the Unix epoch.
+    started: MilliTime,
     pool: BackendPool,
     state: Mutex<AdmissionState>,
     /// Incremented when peers must learn of the load at once.
     changed: watch::Sender<u64>,
     /// Notified when a request waits for a token of a limited backend server.
-    paced: Notify,
+    pub(super) paced: Notify,
+    /// Notified when a health check becomes due soon.
+    pub(super) check: Notify,
     /// The load of the last such notification, with its time.
     notified: Mutex<(MilliTime, InstanceLoad)>,
 }
@@ -173,23 +177,29 @@
         retry_terms: RetryTerms,
     ) -> Self {
         let now = clock.now();
+        let mut queue = AdmissionQueue::new(now);
+        queue.pace_mut().set_terms(now, Some(ColdTerms::UNCONFIGURED));
+        queue.pace_mut().assume_former(now);
         let state = AdmissionState {
-            queue: AdmissionQueue::new(now),
+            queue,
             waiters: HashMap::new(),
             retries: RetryAllowance::new(now, retry_terms),
             runs: RunRegistry::default(),
             target: None,
+            announced: None,
             ended: None,
             is_closed: false,
         };
         let changed = watch::Sender::new(0);
         let notified = Mutex::new((now, InstanceLoad::default()));
         let (state, paced) = (Mutex::new(state), Notify::new());
-        BackendAdmission { clock, service, pool, state, changed, paced, notified }
+        let (check, started) = (Notify::new(), wall_time());
+        BackendAdmission { clock, service, started, pool, state, changed, paced, check, notified }
     }
 
-    /// Starts to admit requests to a backend server.
-    pub(crate) fn open(&self, target: BackendTarget, slots: usize) {
+    /// Starts to admit requests to a backend server that stays cold for `cold_for`.
+    pub(crate) fn open(&self, target: BackendTarget, slots: usize, cold_for: Duration) {
+        let now = self.clock.now();
         let mut state = self.lock();
         if state.is_closed {
             return;
@@ -197,8 +207,16 @@
         let is_new = state.target.as_ref().is_none_or(|old| old.incarnation != target.incarnation);
         if is_new {
             self.pool.reset();
-            state.queue.reset_measurements(self.clock.now());
+            state.queue.reset_measurements(now);
         }
+        if state.announced.as_ref() != Some(&target.incarnation) {
+            state.announced = Some(target.incarnation.clone());
+            state.queue.pace_mut().start_incarnation(now);
+            if target.incarnation.born >= self.started.0 {
+                state.queue.pace_mut().exclude_former();
+            }
+        }
+        state.queue.pace_mut().report(now, cold_for);
         state.target = Some(target);
         state.queue.set_slots(slots);
         self.start_queued(&mut state);
@@ -216,27 +234,6 @@
         self.notify_change();
     }
 
-    /// Sets the rate of requests that the backend server takes; `None` if it states no limit.
-    pub(crate) fn set_limit(&self, limit: Option<RequestLimit>) {
-        let mut state = self.lock();
-        state.queue.set_limit(self.clock.now(), limit);
-        self.start_queued(&mut state);
-        drop(state);
-        self.notify_change();
-    }
-
-    /// Starts waiting requests as a limited backend server takes them, until the task is aborted.
-    pub(crate) async fn start_paced(&self) {
-        loop {
-            let wait = self.lock().queue.paced_wait(self.clock.now());
-            match wait {
-                Some(wait) => sleep(wait.max(PACED_WAIT_MIN)).await,
-                None => self.paced.notified().await,
-            }
-            self.start_queued(&mut self.lock());
-        }
-    }
-
     /// Suspends admission permanently.
     pub(crate) fn close(&self) {
         self.lock().is_closed = true;
@@ -373,7 +370,10 @@
                 due: call.due,
             };
             match state.queue.offer(self.clock.now(), request) {
-                AdmissionDecision::Run => return Ok(()),
+                AdmissionDecision::Run => {
+                    self.notify_paced(&state);
+                    return Ok(());
+                }
                 AdmissionDecision::Refuse(refusal) => return Err(refusal),
                 AdmissionDecision::Wait(ticket) => {
                     let (sender, receiver) = oneshot::channel();
@@ -409,7 +409,7 @@
         RunGuard { admission: self, key, record, started: now, end: None }
     }
 
-    fn start_queued(&self, state: &mut AdmissionState) {
+    pub(super) fn start_queued(&self, state: &mut AdmissionState) {
         let now = self.clock.now();
         while let Some((ticket, outcome)) = state.queue.next(now) {
             let is_notified = notify_waiter(state, ticket, outcome);
@@ -420,12 +420,6 @@
         self.notify_paced(state);
     }
 
-    fn notify_paced(&self, state: &AdmissionState) {
-        if state.queue.paced_wait(self.clock.now()).is_some() {
-            self.paced.notify_one();
-        }
-    }
-
     fn abandon(&self, ticket: WaitTicket) {
         let mut state = self.lock();
         state.queue.abandon(ticket);
@@ -438,11 +432,11 @@
         self.start_queued(&mut state);
     }
 
-    fn notify_change(&self) {
+    pub(super) fn notify_change(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
 
-    fn lock(&self) -> MutexGuard<'_, AdmissionState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, AdmissionState> {
         self.state.lock().expect("lock not poisoned")
     }
 }
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -289,6 +289,7 @@
 ) {
     let incarnation = &heartbeat.incarnation;
     if shared.backend_watch.lock().is_open && decision == AnnouncementDecision::Update {
+        shared.backend_admission.report_cold(heartbeat.cold_for);
         return;
     }
     set_incarnation(shared, incarnation);
@@ -301,7 +302,7 @@
             return;
         }
         state.is_open = true;
-        shared.backend_admission.open(target, heartbeat.slots);
+        shared.backend_admission.open(target, heartbeat.slots, heartbeat.cold_for);
     }
     shared.observe_own_load();
     log_backend(shared, heartbeat, "open");
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod backend_admission;
 pub(crate) mod backend_call;
+pub(crate) mod backend_pacing;
 pub(crate) mod backend_watch;
 pub(crate) mod body_budget;
 pub(crate) mod config_copy;
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use super::backend_pacing::check_backend;
 use super::backend_watch::{record_leaves, serve_announcement, watch_backend};
 use super::crash_watch::record_crashes;
 use super::decision_log::{DecisionLog, LineCategory};
@@ -91,6 +92,7 @@
             tokio::spawn(maintain_links(shared.clone())),
             tokio::spawn(watch_backend(shared.clone())),
             tokio::spawn(pace_backend(shared.clone())),
+            tokio::spawn(check_backend(shared.clone())),
             tokio::spawn(record_leaves(shared.clone())),
             tokio::spawn(record_crashes(shared.clone())),
             tokio::spawn(exchange_tokens(shared.clone())),
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -10,6 +10,7 @@
 
 use super::backend_admission::BackendAdmission;
 use super::backend_call::BackendCall;
+use super::backend_pacing::cold_terms;
 use super::backend_watch::BackendWatch;
 use super::body_budget::{BodyBudget, UsualSize};
 use super::crash_watch::{CrashWatch, ProbationRun, not_run, observe_good_end};
@@ -174,6 +175,7 @@
     /// Applies a newer configuration.
     pub(crate) fn apply_config(&self, config: FleetConfig) {
         self.quota.apply_config(&config);
+        self.backend_admission.set_cold_terms(cold_terms(self, &config));
         let names = config.route_names();
         self.route_success.lock().expect("lock not poisoned").retain(|name| names.contains(name));
         self.retry_detector.lock().expect("lock not poisoned").retain(|name| names.contains(name));
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -2,6 +2,7 @@
 
 mod admission_queue;
 mod backend_notice;
+mod backend_pace;
 mod caller_retry;
 mod crash_ledger;
 mod exchanges;
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,6 +1,7 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
 mod bounded_connections;
+mod cold_servers;
 mod copied_refusals;
 mod crashes;
 mod dropped_positions;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -391,13 +391,16 @@
     mut run: TestRun,
     state: Arc<BackendState>,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
-    let id = request.headers().get("x-lentilway-attempt-id").cloned().unwrap();
+    // Health checks are no attempts of a request.
+    let id = request.headers().get("x-lentilway-attempt-id").cloned();
     let leaks_key = request.headers().contains_key("authorization");
     let organisation = request.headers().get("x-lentilway-tenant-id").cloned();
     request.into_body().collect().await.map_err(std::io::Error::other)?;
     let mut response = Response::new(Full::new(Bytes::from_static(b"whole")));
     let headers = response.headers_mut();
-    headers.insert("x-lentilway-attempt-id", id);
+    if let Some(id) = id {
+        headers.insert("x-lentilway-attempt-id", id);
+    }
     headers.insert("x-lentilway-server-signature", "signed".parse().unwrap());
     headers.insert("x-leaked", leaks_key.to_string().parse().unwrap());
     if let Some(name) = organisation {
@@ -511,6 +514,20 @@
     config.to_string().into_bytes()
 }
 
+/// A configuration whose service `stock` tolerates `cold_per_second` requests while it is cold, and
+/// answers health checks at `health_path`.
+pub(super) fn config_with_warm_up(
+    version: u64,
+    cold_per_second: f64,
+    health_path: Option<&str>,
+) -> Vec<u8> {
+    let mut config: serde_json::Value = serde_json::from_slice(&config(version, true)).unwrap();
+    let service = json!({"entry_kind": "services", "metadata": {"name": "stock"}, "spec": {
+        "cold_start_s": 3, "cold_per_s": cold_per_second, "health_path": health_path}});
+    config["resources"].as_array_mut().unwrap().push(service);
+    config.to_string().into_bytes()
+}
+
 /// A configuration with safe routes of these names and the usual ones.
 pub(super) fn config_with_routes(version: u64, names: &[&str]) -> Vec<u8> {
     config_of(version, names, &[KEY, WITHDRAWN_KEY])
@@ -598,7 +615,7 @@
             metrics_listen: free_address(),
             store_address: free_address(),
             withdrawal_bound: Duration::from_secs(5),
-            warm_up_terms: WarmUpTerms::default(),
+            warm_up_terms: WarmUpTerms { overage: 1.5, slack: 8.0 },
             evacuation_bound: Duration::from_secs(5),
             memory_bytes: 160 << 20,
             descriptors_max: 4_100,
@@ -634,10 +651,28 @@
         number: u64,
         phase: &str,
     ) -> u16 {
+        self.announce_state(daemon, born, number, phase, Duration::ZERO).await
+    }
+
+    /// Announces that the backend server of a daemon stays cold for `cold_for`.
+    pub(super) async fn announce_cold(&self, daemon: &TestDaemon, number: u64, cold_for: Duration) {
+        let status = self.announce_state(daemon, FIRST_BORN, number, "ready", cold_for).await;
+        assert_eq!(status, 200);
+    }
+
+    async fn announce_state(
+        &self,
+        daemon: &TestDaemon,
+        born: u64,
+        number: u64,
+        phase: &str,
+        cold_for: Duration,
+    ) -> u16 {
+        let cold_remaining = cold_for.as_secs_f64();
         let body = json!({"address": daemon.backend.address.to_string(), "born": born,
             "info": {"service": *daemon.settings.service, "version": "v1", "zone": "zone",
                 "slots": 8},
-            "status": {"phase": phase, "sequence": number, "cold_remaining_s": 0}});
+            "status": {"phase": phase, "sequence": number, "cold_remaining_s": cold_remaining}});
         self.tell(daemon, Method::PUT, body.to_string()).await
     }
 
