Evacuate an availability zone by the operators' record

Cause: records evacuate/ZONE in the operators' topic had no effect; only the configuration's record was read.

Change: EvacuationState (policy/zone_evacuation.rs) keeps the evacuated zones as of the highest position of the topic, bound by TopicPosition like the configuration. What a read does not prove to have ended, for instance beside a store that came back from a copy, stays in force until a read does. The state travels in the reports between daemons, as a last field that releases without it ignore. Peers of an evacuated zone are no candidates, their load reports count without slots, and a bounded choice of links leaves them out; the zone's own daemons refuse calls as "not run" and report no slots. Log lines evacuation-begun, evacuation-ended and evacuation-zone-unknown, gauge lentilway_evacuated_zones.

Four daemons in two zones (sidecar::evacuations): no request reaches the zone after 5.5 s, also from a daemon restarted while the store is down. 35 tests of the topic, the links, restores and the queue pass.

--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -114,6 +114,8 @@
 #[derive(Debug)]
 pub struct AdmissionQueue {
     slots: usize,
+    /// The zone is evacuated: nothing runs, whatever the slots.
+    is_evacuated: bool,
     /// Present while the backend server limits its requests.
     pacer: Option<RequestPacer>,
     running: usize,
@@ -131,6 +133,7 @@
     pub fn new(now: MilliTime) -> Self {
         AdmissionQueue {
             slots: 0,
+            is_evacuated: false,
             pacer: None,
             running: 0,
             waiting: BTreeMap::new(),
@@ -149,6 +152,23 @@
         self.slots = slots;
     }
 
+    /// Sets whether the backend server's zone is evacuated. Then all requests are refused as with no
+    /// slots; the declared slots count again when the evacuation ends.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::admission_queue::AdmissionQueue;
+    /// let mut queue = AdmissionQueue::new(MilliTime(0));
+    /// queue.set_evacuated(true);
+    /// queue.set_slots(24);
+    /// assert_eq!((queue.limit(), queue.load(MilliTime(1)).slots), (0, 0));
+    /// queue.set_evacuated(false);
+    /// assert_eq!(queue.limit(), 22);
+    /// ```
+    pub fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.is_evacuated = is_evacuated;
+    }
+
     /// Sets the rate of requests that the backend server takes; `None` if it states no limit.
     pub fn set_limit(&mut self, now: MilliTime, limit: Option<RequestLimit>) {
         match (&mut self.pacer, limit) {
@@ -176,6 +196,7 @@
     /// ```
     pub fn limit(&self) -> usize {
         match self.slots {
+            _ if self.is_evacuated => 0,
             0 => 0,
             slots => ((slots as f64 * SLOTS_USED_FRACTION) as usize).max(1),
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -34,3 +34,4 @@
 pub mod token_share;
 pub mod topic_position;
 pub mod weighted_split;
+pub mod zone_evacuation;
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Buf, Bytes, BytesMut};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -17,6 +17,7 @@
 use crate::policy::request_identity::RequestIdentity;
 use crate::policy::root_admission::CostList;
 use crate::policy::store_position::StorePosition;
+use crate::policy::zone_evacuation::EvacuationClaim;
 use crate::sidecar::process::body_budget::{BodyBudget, BodyLease};
 use crate::sidecar::process::topic_replica::TopicUpdate;
 use crate::sidecar::request::context::{CallContext, CallOutcome, ForwardRequest};
@@ -58,6 +59,9 @@
         number: Option<u64>,
         configuration: Option<ConfigReport>,
         directory: Option<TopicReport>,
+        /// Absent from messages of releases without evacuations.
+        #[serde(deserialize_with = "deserialize_last")]
+        evacuations: Option<EvacuationClaim>,
     },
     /// Transfers tokens to the receiver.
     Tokens(Vec<TokenAmount>),
@@ -82,6 +86,15 @@
     Release(RequestIdentity),
 }
 
+/// Deserializes the last field of a message, which earlier releases do not send.
+fn deserialize_last<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
+}
+
 /// A request to run at the receiver's backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct PeerCall {
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -13,7 +13,7 @@
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::sidecar::process::peer_table::PeerEntry;
-use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::sidecar_shared::{SidecarShared, StoreReports};
 use crate::sidecar::process::store_view::PositionSource;
 
 pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(900);
@@ -202,10 +202,11 @@
             link.complete_call(*answer);
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
-        PeerMessage::Records { number, configuration, directory } => {
+        PeerMessage::Records { number, configuration, directory, evacuations } => {
             let source = PositionSource::Daemon(peer.name.clone());
             let requested = link.requested_at(number);
-            shared.merge_reports(&source, requested, configuration, directory);
+            let reports = StoreReports { configuration, directory, evacuations };
+            shared.merge_reports(&source, requested, reports);
         }
         PeerMessage::AskRecords { number, version, directory } => {
             link.send(shared.store_reports(Some(number), version, directory));
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -15,10 +15,11 @@
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
 use crate::policy::store_position::StorePosition;
+use crate::policy::zone_evacuation::ZoneSet;
 use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::backend_watch::note_leaves;
 use crate::sidecar::process::notice_watch::learn_notice;
-use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::sidecar_shared::{SidecarShared, StoreReports};
 use crate::sidecar::process::store_view::PositionSource;
 
 /// Accepts links from other daemons until the task is aborted.
@@ -55,6 +56,8 @@
     asked: Option<MilliTime>,
     version: u64,
     directory: Option<StorePosition>,
+    /// The evacuated zones of the last message.
+    evacuated: Arc<ZoneSet>,
 }
 
 impl RecordFollower {
@@ -72,6 +75,7 @@
     ) -> PeerMessage {
         self.version = shared.store_view.configuration.version().max(version);
         self.directory = shared.store_view.directory.cursor().max(directory);
+        self.evacuated = shared.evacuated.load_full();
         shared.store_reports(number, version, directory)
     }
 
@@ -82,6 +86,7 @@
         let view = &shared.store_view;
         let has_news =
             view.configuration.version() > self.version || view.directory.cursor() > self.directory;
+        let has_news = has_news || *self.evacuated != **shared.evacuated.load();
         has_news.then(|| self.reports(shared, None, self.version, self.directory))
     }
 }
@@ -151,10 +156,11 @@
                             return LinkError::Closed;
                         }
                     }
-                    PeerMessage::Records { number, configuration, directory } => {
+                    PeerMessage::Records { number, configuration, directory, evacuations } => {
                         let requested = start_requests.requested_at(number);
                         let source = PositionSource::LinkedDaemon;
-                        shared.merge_reports(&source, requested, configuration, directory);
+                        let reports = StoreReports { configuration, directory, evacuations };
+                        shared.merge_reports(&source, requested, reports);
                     }
                     PeerMessage::Notice(notice) => learn_notice(shared, notice),
                     PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -216,6 +216,15 @@
         self.notify_change();
     }
 
+    /// Sets whether the zone is evacuated, in which nothing is admitted; runs under way finish.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        let mut state = self.lock();
+        state.queue.set_evacuated(is_evacuated);
+        self.start_queued(&mut state);
+        drop(state);
+        self.notify_change();
+    }
+
     /// Sets the rate of requests that the backend server takes; `None` if it states no limit.
     pub(crate) fn set_limit(&self, limit: Option<RequestLimit>) {
         let mut state = self.lock();
--- a/src/sidecar/process/config_copy.rs
+++ b/src/sidecar/process/config_copy.rs
@@ -1,4 +1,4 @@
-//! This daemon's copy of the newest configuration, and its freshness.
+//! This daemon's copy of the newest configuration and of the evacuated zones, and its freshness.
 
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use crate::clock::MilliTime;
 use crate::policy::config_state::{ConfigChange, ConfigClaim, ConfigRead, ConfigState};
 use crate::policy::store_position::{StoreEra, StorePosition};
+use crate::policy::zone_evacuation::{EvacuationClaim, EvacuationRead, EvacuationState, ZoneSet};
 use crate::sidecar::connection::frame::ConfigReport;
 
 /// A version of the configuration and its record, which other daemons are given.
@@ -21,9 +22,16 @@
 struct CopyState {
     known: ConfigState,
     newest: Option<VersionRecord>,
+    evacuations: EvacuationState,
 }
 
 impl CopyState {
+    /// The position from which the store is read on: no record of either kind is passed over.
+    fn read_position(&self) -> Option<StorePosition> {
+        let position = self.known.read_position()?;
+        Some(position.min(self.evacuations.read_position()?))
+    }
+
     fn take(
         &mut self,
         change: ConfigChange,
@@ -52,27 +60,35 @@
 
     /// The position from which the store is read on; `None` if only a snapshot leads on.
     pub(crate) fn read_position(&self) -> Option<StorePosition> {
-        self.lock().known.read_position()
+        self.lock().read_position()
     }
 
     /// Records that the store no longer has the records before `first`.
     pub(crate) fn refuse_before(&self, first: StorePosition) {
-        self.lock().known.refuse_before(first);
+        let mut state = self.lock();
+        state.known.refuse_before(first);
+        state.evacuations.refuse_before(first);
     }
 
     /// Records that the store does not know the position.
     pub(crate) fn discard_position(&self) {
-        self.lock().known.discard_position();
+        let mut state = self.lock();
+        state.known.discard_position();
+        state.evacuations.discard_position();
     }
 
     /// Records that a snapshot requested after all refusals ends at `end`, before what they named.
     pub(crate) fn resume_at(&self, end: StorePosition) {
-        self.lock().known.resume_at(end);
+        let mut state = self.lock();
+        state.known.resume_at(end);
+        state.evacuations.resume_at(end);
     }
 
     /// Records that the store is in `era` or a later one.
     pub(crate) fn enter_era(&self, era: StoreEra) {
-        self.lock().known.enter_era(era);
+        let mut state = self.lock();
+        state.known.enter_era(era);
+        state.evacuations.enter_era(era);
     }
 
     /// The age of the freshness proof.
@@ -90,19 +106,21 @@
         self.lock().known.first_version(era)
     }
 
-    /// Merges a read of the store up to `position`. It proves the state as of `proven`, if that is
-    /// given, unless it lacks `floor`, a version that others know of; returns whether it does.
-    /// `apply` puts the version in force that was found.
+    /// Merges a read of the store; `evacuations` is what it says of them. It proves the state as of
+    /// `proven`, if that is given, unless it lacks `floor`, a version that others know of; returns
+    /// whether it does. `apply` puts the version in force that was found.
     pub(crate) fn merge_read(
         &self,
-        position: StorePosition,
+        evacuations: EvacuationRead,
         (proven, floor): (Option<MilliTime>, u64),
         found: Option<VersionRecord>,
         apply: impl FnOnce(),
     ) -> bool {
         let found_version = found.as_ref().map(|found| found.version);
-        let read = ConfigRead { position, found: found_version, proven, floor };
+        let read =
+            ConfigRead { position: evacuations.position, found: found_version, proven, floor };
         let mut state = self.lock();
+        state.evacuations.merge_read(evacuations);
         let change = state.known.merge_read(&read);
         state.take(change, found, apply)
     }
@@ -140,12 +158,27 @@
         let newest = state.newest.as_ref().filter(|newest| newest.version > version);
         Some(ConfigReport {
             version: state.known.version(),
-            position: state.known.read_position(),
+            position: state.read_position(),
             age_millis,
             record: newest.map(|newest| newest.record.clone()),
         })
     }
 
+    /// The zones whose evacuation is known here.
+    pub(crate) fn evacuated(&self) -> ZoneSet {
+        self.lock().evacuations.evacuated()
+    }
+
+    /// Merges what another daemon knows of evacuations.
+    pub(crate) fn merge_evacuations(&self, claim: &EvacuationClaim) {
+        self.lock().evacuations.merge_claim(claim);
+    }
+
+    /// What other daemons are told of evacuations.
+    pub(crate) fn evacuation_claim(&self) -> EvacuationClaim {
+        self.lock().evacuations.claim()
+    }
+
     fn lock(&self) -> MutexGuard<'_, CopyState> {
         self.state.lock().expect("lock not poisoned")
     }
--- a/src/sidecar/process/link_plan.rs
+++ b/src/sidecar/process/link_plan.rs
@@ -7,7 +7,8 @@
 use super::directory::DirectoryEntry;
 use super::peer_table::instance_key;
 use crate::clock::MilliTime;
-use crate::policy::link_subset::{SubsetMember, choose_subset, rendezvous_weight};
+use crate::policy::link_subset::{SUBSET_ALL_MAX, SubsetMember, choose_subset, rendezvous_weight};
+use crate::policy::zone_evacuation::ZoneSet;
 
 /// Up to this number of services, a daemon links to instances of all of them before it calls one.
 const EAGER_SERVICES_MAX: usize = 12;
@@ -65,6 +66,8 @@
     called: HashMap<Arc<str>, MilliTime>,
     /// Daemons to link to for a suspect, with the time at which each was last wanted.
     wanted: HashMap<u64, MilliTime>,
+    /// Zones whose backend servers get no requests.
+    evacuated: Arc<ZoneSet>,
 }
 
 impl LinkPlanner {
@@ -76,6 +79,7 @@
             services: BTreeMap::new(),
             called: HashMap::new(),
             wanted: HashMap::new(),
+            evacuated: Arc::default(),
         }
     }
 
@@ -106,6 +110,30 @@
             entries.into_iter().map(|entry| (instance_key(&entry.name), entry)).collect();
     }
 
+    /// Sets the zones whose backend servers get no requests.
+    pub(crate) fn set_evacuated(&mut self, evacuated: Arc<ZoneSet>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Whether a backend server gets no requests because of its zone.
+    fn is_evacuated(&self, key: u64) -> bool {
+        !self.evacuated.is_empty()
+            && self
+                .entries
+                .get(&key)
+                .is_some_and(|entry| self.evacuated.contains(&entry.availability_zone))
+    }
+
+    /// The instances of `service` to choose those from that are linked. A bounded choice leaves out
+    /// evacuated zones, so that enough of the links lead to instances that take requests.
+    fn linkable(&self, service: &str) -> Vec<SubsetMember> {
+        let members = &self.services[service];
+        if members.len() <= SUBSET_ALL_MAX {
+            return members.clone();
+        }
+        members.iter().filter(|member| !self.is_evacuated(member.key)).copied().collect()
+    }
+
     /// Records a call of `service`; `true` if its instances are not linked yet.
     pub(crate) fn use_service(&mut self, now: MilliTime, service: &Arc<str>) -> bool {
         if self.services.len() <= EAGER_SERVICES_MAX {
@@ -114,9 +142,10 @@
         self.called.insert(service.clone(), now).is_none()
     }
 
-    /// The keys of the other instances of `service`.
+    /// The keys of the other instances of `service` outside evacuated zones.
     pub(crate) fn instances(&self, service: &str) -> impl Iterator<Item = u64> {
-        self.services.get(service).into_iter().flatten().map(|member| member.key)
+        let keys = self.services.get(service).into_iter().flatten().map(|member| member.key);
+        keys.filter(|key| !self.is_evacuated(*key))
     }
 
     /// Plans a link to the daemon with this key for a while; `true` if there was none.
@@ -139,8 +168,8 @@
         self.called.retain(|service, _| services.contains(service));
         let mut callees = Vec::new();
         for service in &services {
-            let members = &self.services[service];
-            let chosen = choose_subset(self.own_key, members);
+            let members = self.linkable(service);
+            let chosen = choose_subset(self.own_key, &members);
             callees.extend(chosen.into_iter().map(|index| members[index].key));
         }
         let (before, after) = self.reading_group();
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -18,6 +18,7 @@
 use crate::policy::placement::{InstanceLoad, PlacementCandidate};
 use crate::policy::read_schedule::ReaderRank;
 use crate::policy::request_identity::RequestIdentity;
+use crate::policy::zone_evacuation::ZoneSet;
 use crate::sidecar::connection::peer_link::PeerLink;
 
 /// Another daemon.
@@ -28,6 +29,8 @@
     pub(crate) address: SocketAddr,
     /// The hash of its name.
     pub(crate) key: u64,
+    /// Its availability zone.
+    pub(crate) zone: Arc<str>,
     same_zone: bool,
     clock: MilliClock,
     state: Mutex<PeerState>,
@@ -64,6 +67,7 @@
             service: entry.service.clone(),
             address: entry.address,
             key: instance_key(&entry.name),
+            zone: entry.availability_zone.clone(),
             same_zone: &*entry.availability_zone == own_zone,
             clock: clock.clone(),
             state: Mutex::new(PeerState::new(clock.now())),
@@ -71,7 +75,9 @@
     }
 
     fn is_of(&self, entry: &DirectoryEntry) -> bool {
-        self.address == entry.address && self.service == entry.service
+        self.address == entry.address
+            && self.service == entry.service
+            && self.zone == entry.availability_zone
     }
 
     /// Records a load reported over `link`; `true` if this is the first on a new link.
@@ -108,6 +114,12 @@
         self.lock().link.clone()
     }
 
+    /// The load that it last reported, if it is connected.
+    pub(crate) fn load(&self) -> Option<InstanceLoad> {
+        let state = self.lock();
+        state.link.as_ref().map(|_| state.load)
+    }
+
     /// The daemon as a placement candidate, if it is connected.
     pub(crate) fn candidate(&self) -> Option<PlacementCandidate> {
         let now = self.clock.now();
@@ -203,6 +215,11 @@
         self.lock().planner.set_entries(entries);
     }
 
+    /// Sets the zones whose backend servers get no requests.
+    pub(crate) fn set_evacuated(&self, evacuated: Arc<ZoneSet>) {
+        self.lock().planner.set_evacuated(evacuated);
+    }
+
     /// Whether the directory lists other daemons.
     pub(crate) fn has_entries(&self) -> bool {
         self.lock().planner.has_entries()
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -76,6 +76,8 @@
     pub suspects: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
+    /// Zones that are evacuated.
+    pub evacuated_zones: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -150,6 +152,12 @@
             "Requests that ran at backend servers that ended, and have not ended well since",
             suspects.clone(),
         );
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            evacuated_zones.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -165,6 +173,7 @@
             suspects,
             is_limited,
             limit_per_second,
+            evacuated_zones,
         }
     }
 }
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -37,11 +37,13 @@
 use crate::policy::stop_schedule::StopSchedule;
 use crate::policy::store_position::StorePosition;
 use crate::policy::weighted_split::WeightedSplit;
+use crate::policy::zone_evacuation::{EvacuationClaim, ZoneSet};
 use crate::process::stop::StopSignal;
 use crate::sidecar::connection::backend_pool::BackendPool;
 use crate::sidecar::connection::frame::{ConfigReport, PeerMessage, TopicReport};
 use crate::sidecar::request::context::{CallOutcome, NotRunCause};
 use crate::sidecar::version::config_watch::{has_config, merge_config_read, merge_config_report};
+use crate::sidecar::version::evacuation_watch::merge_evacuations;
 use crate::sidecar::version::fleet_config::FleetConfig;
 
 /// Safety margin of the withdrawal bound, for clocks with millisecond resolution and late timers.
@@ -91,6 +93,17 @@
     next_start_request: Mutex<MilliTime>,
     config: ArcSwapOption<FleetConfig>,
     pub(super) lost_dependencies: Mutex<HashSet<String>>,
+    /// The evacuated zones.
+    pub(crate) evacuated: ArcSwap<ZoneSet>,
+    /// Held while evacuations are applied, so that they are applied in order.
+    pub(crate) evacuation_order: Mutex<()>,
+}
+
+/// What another daemon reports of the store's topics.
+pub(crate) struct StoreReports {
+    pub(crate) configuration: Option<ConfigReport>,
+    pub(crate) directory: Option<TopicReport>,
+    pub(crate) evacuations: Option<EvacuationClaim>,
 }
 
 #[derive(Serialize)]
@@ -152,6 +165,8 @@
             next_start_request: Mutex::new(now + START_REQUEST_DELAY),
             config: ArcSwapOption::empty(),
             lost_dependencies: Mutex::default(),
+            evacuated: ArcSwap::default(),
+            evacuation_order: Mutex::default(),
             metrics,
             settings,
             dialect,
@@ -231,7 +246,7 @@
             StoreTopic::Configuration => {
                 let is_rewrite = from.is_some() && has_config(self, &read.records);
                 let proven = self.observe_era(topic, era, proven, is_rewrite);
-                merge_config_read(self, read, proven)
+                merge_config_read(self, from, read, proven)
             }
             StoreTopic::Directory => {
                 let apply = |change| self.apply_directory_change(&change);
@@ -251,10 +266,13 @@
         self: &Arc<Self>,
         source: &PositionSource,
         requested: Option<MilliTime>,
-        configuration: Option<ConfigReport>,
-        directory: Option<TopicReport>,
+        reports: StoreReports,
     ) {
+        let StoreReports { configuration, directory, evacuations } = reports;
         let view = &self.store_view;
+        if let Some(claim) = evacuations {
+            merge_evacuations(self, source, &claim);
+        }
         if let Some(report) = configuration {
             let position = view.configuration.read_position();
             merge_config_report(self, requested, &report);
@@ -329,6 +347,7 @@
             number,
             configuration: self.store_view.configuration.report(now, version),
             directory: self.store_view.directory.report(now, directory),
+            evacuations: Some(self.store_view.configuration.evacuation_claim()),
         }
     }
 
@@ -419,7 +438,16 @@
 
     /// Records the load that a peer reported.
     pub(crate) fn observe_load(&self, peer: &PeerEntry, load: &InstanceLoad) {
-        self.observe_instance(&peer.service, peer.key, load);
+        let mut load = *load;
+        if self.is_evacuated(&peer.zone) {
+            load.slots = 0;
+        }
+        self.observe_instance(&peer.service, peer.key, &load);
+    }
+
+    /// Whether backend servers of a zone get no requests.
+    pub(crate) fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.load().contains(zone)
     }
 
     /// Records the load at this daemon's backend server.
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -304,7 +304,7 @@
             candidates.push(local_candidate(self.shared));
         }
         for peer in peers.iter().flat_map(|peers| peers.iter()) {
-            if self.tried.contains(&peer.key) {
+            if self.tried.contains(&peer.key) || self.shared.is_evacuated(&peer.zone) {
                 continue;
             }
             if let Some(candidate) = peer.candidate() {
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -5,14 +5,18 @@
 use bytes::Bytes;
 use serde::Serialize;
 
+use super::evacuation_watch::{apply_evacuations, zone_records};
 use super::fleet_config::FleetConfig;
 use crate::clock::MilliTime;
+use crate::policy::store_position::StorePosition;
+use crate::policy::zone_evacuation::EvacuationRead;
 use crate::sidecar::connection::frame::ConfigReport;
 use crate::sidecar::process::config_copy::VersionRecord;
 use crate::sidecar::process::decision_log::LineCategory;
 use crate::sidecar::process::directory::known_version;
 use crate::sidecar::process::keyed_store::{StoreRead, StoreRecord};
 use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::store_view::PositionSource;
 
 #[derive(Serialize)]
 struct ConfigLine {
@@ -41,13 +45,20 @@
     records.iter().any(|record| record.key == shared.dialect.config_key())
 }
 
-/// Merges a read of the store. It proves the state as of `proven`, if that is given, unless it lacks
-/// a version that others know of; returns whether it does.
+/// Merges a read of the store from position `from`, or of a snapshot. It proves the state as of
+/// `proven`, if that is given, unless it lacks a version that others know of; returns whether it does.
 pub(crate) fn merge_config_read(
     shared: &Arc<SidecarShared>,
+    from: Option<StorePosition>,
     read: StoreRead,
     proven: Option<MilliTime>,
 ) -> bool {
+    let evacuations = EvacuationRead {
+        from,
+        position: read.cursor,
+        records: zone_records(shared, &read.records),
+        is_proof: proven.is_some(),
+    };
     let key = shared.dialect.config_key();
     let records = read.records.into_iter().filter(|record| record.key == key);
     let values = records.filter_map(|record| record.value);
@@ -57,7 +68,10 @@
     let (config, found) = newest.unzip();
     let apply = || apply(shared, ConfigSource::Store, config);
     let floor = known_version(shared, read.cursor.era).unwrap_or(0);
-    shared.store_view.configuration.merge_read(read.cursor, (proven, floor), found, apply)
+    let configuration = &shared.store_view.configuration;
+    let is_proof = configuration.merge_read(evacuations, (proven, floor), found, apply);
+    apply_evacuations(shared, &PositionSource::Store);
+    is_proof
 }
 
 /// Merges the report of another daemon, which answers a request made at `requested` if it is given.
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -19,3 +19,4 @@
 mod stop_schedule;
 mod tokens;
 mod topic_position;
+mod zone_evacuation;
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod dropped_positions;
 mod endless;
+mod evacuations;
 mod exchange_orders;
 mod fleet;
 pub(crate) mod floods;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -447,8 +447,8 @@
 
 /// A store shared by daemons, and a client.
 pub(super) struct TestFleet {
-    /// Whether each daemon is alone in its availability zone.
-    has_zones: bool,
+    /// The availability zone of the daemon of a name.
+    zone_of: fn(&str) -> &str,
     /// Time for a planned stop of a daemon.
     stop_bound: Duration,
     pub(super) store: Arc<MemoryStore>,
@@ -532,12 +532,17 @@
         store.write(StoreTopic::Configuration, "config", Some(config(1, true)));
         let client = Client::builder(TokioExecutor::new()).build_http();
         let stop_bound = STOP_BOUND;
-        TestFleet { has_zones: false, stop_bound, store, client, next_id: AtomicUsize::new(0) }
+        TestFleet { zone_of: |_| "zone", stop_bound, store, client, next_id: AtomicUsize::new(0) }
     }
 
     /// A fleet whose daemons are each alone in an availability zone.
     pub(super) fn with_zones() -> Self {
-        TestFleet { has_zones: true, ..Self::new() }
+        TestFleet { zone_of: |name| name, ..Self::new() }
+    }
+
+    /// A fleet whose daemons are in the availability zone that their names begin with, up to a dash.
+    pub(super) fn with_shared_zones() -> Self {
+        TestFleet { zone_of: |name| name.split('-').next().unwrap_or(name), ..Self::new() }
     }
 
     /// A fleet whose daemons have this time for a planned stop.
@@ -586,7 +591,7 @@
     ) -> TestDaemon {
         let settings = SidecarSettings {
             name: name.into(),
-            availability_zone: if self.has_zones { name.into() } else { "zone".into() },
+            availability_zone: (self.zone_of)(name).into(),
             region: "region".into(),
             zone_regions: HashMap::new(),
             service: service.into(),
