--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -36,3 +36,4 @@
 pub mod token_share;
 pub mod topic_position;
 pub mod weighted_split;
+pub mod zone_evacuation;
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -18,10 +18,11 @@
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
 use crate::policy::store_position::StorePosition;
+use crate::policy::zone_evacuation::ZoneSet;
 use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::backend_watch::note_leaves;
 use crate::sidecar::process::notice_watch::learn_notice;
-use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::sidecar_shared::{SidecarShared, StoreReports};
 use crate::sidecar::process::store_view::PositionSource;
 
 /// Accepts links from other daemons until the task is aborted.
@@ -60,6 +61,8 @@
     directory: Option<StorePosition>,
     /// The last record sent that this daemon cannot read; it is sent once.
     unread: Option<Bytes>,
+    /// The evacuated zones of the last message.
+    evacuated: Arc<ZoneSet>,
 }
 
 impl RecordFollower {
@@ -77,6 +80,7 @@
     ) -> PeerMessage {
         self.version = shared.store_view.configuration.version().max(version);
         self.directory = shared.store_view.directory.cursor().max(directory);
+        self.evacuated = shared.evacuated.load_full();
         let mut reports = shared.store_reports(number, version, directory);
         if let PeerMessage::Records { configuration: Some(report), .. } = &mut reports {
             let unread = report.unread.take_if(|unread| self.unread.as_ref() == Some(unread));
@@ -92,6 +96,7 @@
         let view = &shared.store_view;
         let has_news =
             view.configuration.version() > self.version || view.directory.cursor() > self.directory;
+        let has_news = has_news || *self.evacuated != **shared.evacuated.load();
         has_news.then(|| self.reports(shared, None, self.version, self.directory))
     }
 }
@@ -185,10 +190,11 @@
                             return LinkError::Closed;
                         }
                     }
-                    PeerMessage::Records { number, configuration, directory } => {
+                    PeerMessage::Records { number, configuration, directory, evacuations } => {
                         let requested = start_requests.requested_at(number);
                         let source = PositionSource::LinkedDaemon;
-                        shared.merge_reports(&source, requested, configuration, directory);
+                        let reports = StoreReports { configuration, directory, evacuations };
+                        shared.merge_reports(&source, requested, reports);
                     }
                     PeerMessage::Notice(notice) => learn_notice(shared, notice),
                     PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -80,6 +80,8 @@
     pub scarce_organisations: Gauge,
     /// Entries of the configuration in force that are left out or served with restrictions.
     pub unreadable_entries: Gauge,
+    /// Zones that are evacuated.
+    pub evacuated_zones: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -166,6 +168,12 @@
             "Entries of the configuration in force that are left out or served with restrictions",
             unreadable_entries.clone(),
         );
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            evacuated_zones.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -183,6 +191,7 @@
             limit_per_second,
             scarce_organisations,
             unreadable_entries,
+            evacuated_zones,
         }
     }
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -21,3 +21,4 @@
 mod token_surge;
 mod tokens;
 mod topic_position;
+mod zone_evacuation;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -455,8 +455,8 @@
 
 /// A store shared by daemons, and a client.
 pub(super) struct TestFleet {
-    /// Whether each daemon is alone in its availability zone.
-    has_zones: bool,
+    /// The availability zone of the daemon of a name.
+    zone_of: fn(&str) -> &str,
     /// Time for a planned stop of a daemon.
     stop_bound: Duration,
     pub(super) store: Arc<MemoryStore>,
@@ -557,7 +557,7 @@
         let client = Client::builder(TokioExecutor::new()).build_http();
         let stop_bound = STOP_BOUND;
         TestFleet {
-            has_zones: false,
+            zone_of: |_| "zone",
             stop_bound,
             store,
             client,
@@ -568,7 +568,12 @@
 
     /// A fleet whose daemons are each alone in an availability zone.
     pub(super) fn with_zones() -> Self {
-        TestFleet { has_zones: true, ..Self::new() }
+        TestFleet { zone_of: |name| name, ..Self::new() }
+    }
+
+    /// A fleet whose daemons are in the availability zone that their names begin with, up to a dash.
+    pub(super) fn with_shared_zones() -> Self {
+        TestFleet { zone_of: |name| name.split('-').next().unwrap_or(name), ..Self::new() }
     }
 
     /// A fleet whose daemons have this time for a planned stop.
@@ -617,7 +622,7 @@
     ) -> TestDaemon {
         let settings = SidecarSettings {
             name: name.into(),
-            availability_zone: if self.has_zones { name.into() } else { "zone".into() },
+            availability_zone: (self.zone_of)(name).into(),
             region: "region".into(),
             zone_regions: HashMap::new(),
             service: service.into(),
