Slow start of a backend server that starts or returns

Cause: a server that starts, returns after a failure or stops being cold got the full load at once.

Change: policy/slow_start.rs: the pace begins at the rate that the server tolerates while cold, doubles in each step with good answers and is halved at once when runs fail, are refused or take twice the usual time; it ends when some of it stays unused, or after 30 s. The smaller of this pace and that of a cold server is in force. Active where the service has a limit of cold servers. BackendPace::take now takes the token itself: the wait is rounded, so that a request could pass without its token (46 requests in 1.8 s at 15 per second). The check of run_cold_by_health_check that a warm server is not limited now follows after 2 s of load, since a server that has just started gets a slow start.

--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -286,6 +286,7 @@
     /// different time than expected, a refused one for almost none, so the demand is corrected.
     pub fn finish(&mut self, now: MilliTime, rank: RequestRank, elapsed: Duration, end: RunEnd) {
         self.release();
+        self.pace.record_end(now, elapsed, end);
         self.failed_fraction.add(now, end != RunEnd::Answered);
         self.refused_fraction.add(now, end == RunEnd::Refused);
         let millis = elapsed.as_secs_f64() * 1_000.0;
@@ -333,10 +334,12 @@
     }
 
     fn take_token(&mut self, now: MilliTime) -> bool {
-        let is_taken =
-            self.pace.admits(now) && self.pacer.as_mut().is_none_or(|pacer| pacer.take(now));
-        if is_taken {
-            self.pace.count_send(now);
+        if !self.pace.take(now) {
+            return false;
+        }
+        let is_taken = self.pacer.as_mut().is_none_or(|pacer| pacer.take(now));
+        if !is_taken {
+            self.pace.put_back();
         }
         is_taken
     }
--- a/src/policy/backend_pace.rs
+++ b/src/policy/backend_pace.rs
@@ -4,13 +4,17 @@
 //! tolerates a stated rate and crashes at rates well above, so any second holds at most a stated
 //! number of requests from all senders together. All of them pass the daemon beside it, which keeps
 //! the bound. Health checks tell when a warm server becomes cold; what was sent since the last one
-//! that found it warm may have reached a cold server, so it stays within the same bound.
+//! that found it warm may have reached a cold server, so it stays within the same bound. A server
+//! that starts or returns also gets a slow start, whose pace the cold one bounds.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::admission_queue::RunEnd;
 use super::backend_notice::RequestLimit;
+use super::moving_average::SampleAverage;
 use super::request_pacer::RequestPacer;
+use super::slow_start::SlowStart;
 use crate::clock::MilliTime;
 
 /// The window of the bound with an allowance for the way: requests that are sent within it may
@@ -36,6 +40,9 @@
 /// Maximum number of remembered sends; a bound beyond it is kept as this one.
 const SENDS_MAX: usize = 4_096;
 
+/// Weight of one run in the usual service time, which outlasts the server's starts.
+const USUAL_SAMPLE_WEIGHT: f64 = 0.02;
+
 /// Requests that a cold backend server may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdTerms {
@@ -86,7 +93,7 @@
 }
 
 /// Decides when a backend server gets its next request.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct BackendPace {
     /// `None` if the server takes requests at any rate.
     terms: Option<ColdTerms>,
@@ -99,9 +106,32 @@
     sends: VecDeque<MilliTime>,
     /// Those of them that may have reached a cold server.
     unproven: VecDeque<UnprovenSend>,
-    /// Present while the server is cold.
+    /// Present while a rate is in force.
     pacer: Option<RequestPacer>,
     check: CheckState,
+    slow_start: Option<SlowStart>,
+    /// Whether a slow start is to begin once the configuration is known.
+    is_start_due: bool,
+    /// Service time outside slow starts.
+    usual_millis: SampleAverage,
+}
+
+impl Default for BackendPace {
+    fn default() -> Self {
+        BackendPace {
+            terms: None,
+            is_known: false,
+            cold_until: MilliTime::default(),
+            former_until: MilliTime::default(),
+            sends: VecDeque::new(),
+            unproven: VecDeque::new(),
+            pacer: None,
+            check: CheckState::default(),
+            slow_start: None,
+            is_start_due: false,
+            usual_millis: SampleAverage::new(USUAL_SAMPLE_WEIGHT),
+        }
+    }
 }
 
 impl BackendPace {
@@ -110,6 +140,9 @@
         self.terms = terms;
         self.check.is_failed = false;
         self.update(now);
+        if std::mem::take(&mut self.is_start_due) {
+            self.begin_slow_start(now);
+        }
     }
 
     /// Assumes that a former process beside the same server has just sent what the bound allows.
@@ -130,6 +163,28 @@
         self.update(now);
     }
 
+    /// Begins a slow start: the server starts or returns.
+    pub fn begin_slow_start(&mut self, now: MilliTime) {
+        if self.terms == Some(ColdTerms::UNCONFIGURED) {
+            self.is_start_due = true;
+            return;
+        }
+        let usual = self.usual_millis.mean_or(0.0);
+        let usual = (usual > 0.0).then_some(usual);
+        self.slow_start = self.terms.map(|terms| SlowStart::new(now, terms.per_second, usual));
+        self.update(now);
+    }
+
+    /// Records the end of a run that took `elapsed`.
+    pub fn record_end(&mut self, now: MilliTime, elapsed: Duration, end: RunEnd) {
+        if let Some(start) = &mut self.slow_start {
+            start.record_end(now, elapsed, end);
+            self.update(now);
+        } else if end == RunEnd::Answered {
+            self.usual_millis.add(elapsed.as_secs_f64() * 1_000.0);
+        }
+    }
+
     /// Records that the server stays cold for `cold_for`, zero if it is warm. Of several reports, the
     /// one with the latest end applies.
     ///
@@ -149,6 +204,9 @@
         self.is_known = true;
         if !cold_for.is_zero() {
             self.unproven.iter_mut().for_each(|send| send.is_cold = true);
+            if self.slow_start.is_none() {
+                self.begin_slow_start(now);
+            }
             self.cold_until = self.cold_until.max(now + cold_for + COLD_END_MARGIN);
         }
         self.update(now);
@@ -161,34 +219,39 @@
 
     /// Requests per second that the server gets; `None` if they are not limited.
     pub fn rate(&self, now: MilliTime) -> Option<f64> {
-        let terms = self.terms.filter(|_| self.is_cold(now))?;
-        Some(terms.per_second)
+        let terms = self.terms?;
+        let cold = self.is_cold(now).then_some(terms.per_second);
+        let starting = self.slow_start.as_ref().map(SlowStart::rate);
+        [cold, starting].into_iter().flatten().reduce(f64::min)
     }
 
     /// Time until a request with `ahead` others before it may be sent; `None` if no limit applies.
     pub fn wait(&self, now: MilliTime, ahead: usize) -> Option<Duration> {
         let terms = self.terms?;
+        let rate = self.rate(now);
+        let paced =
+            rate.map(|_| self.pacer.as_ref().map_or(CHECK_WAIT, |pacer| pacer.wait(now, ahead)));
         if !self.is_cold(now) {
             let sent_at = |index: usize| self.unproven[index].at;
             let wait = Self::window_wait(now, terms.allowance(), self.unproven.len(), sent_at);
-            return (!self.check.is_failed && !wait.is_zero()).then_some(CHECK_WAIT);
+            return paced.max((!self.check.is_failed && !wait.is_zero()).then_some(CHECK_WAIT));
         }
-        let paced = self.pacer.as_ref().map_or(CHECK_WAIT, |pacer| pacer.wait(now, ahead));
         let sent_at = |index: usize| self.sends[index];
         let window = Self::window_wait(now, terms.allowance(), self.sends.len(), sent_at);
         let former = self.former_until.until(now);
-        Some(paced.max(window).max(former))
-    }
-
-    /// Whether a request may be sent now.
-    pub fn admits(&self, now: MilliTime) -> bool {
-        self.wait(now, 0).is_none_or(|wait| wait.is_zero())
+        paced.max(Some(window.max(former)))
     }
 
-    /// Counts a request that is sent.
-    pub fn count_send(&mut self, now: MilliTime) {
+    /// Counts a request that is sent; `false` if it must not be sent now.
+    pub fn take(&mut self, now: MilliTime) -> bool {
         self.update(now);
-        self.pacer.as_mut().map(|pacer| pacer.take(now));
+        // The wait is rounded to the resolution of durations, the tokens are not.
+        if self.wait(now, 0).is_some_and(|wait| !wait.is_zero())
+            || self.pacer.as_mut().is_some_and(|pacer| !pacer.take(now))
+        {
+            return false;
+        }
+        self.slow_start.iter_mut().for_each(SlowStart::count_send);
         let is_past = |at: MilliTime| now.since(at) >= BOUND_WINDOW;
         while self.sends.len() >= SENDS_MAX || self.sends.front().is_some_and(|at| is_past(*at)) {
             self.sends.pop_front();
@@ -201,6 +264,7 @@
         self.sends.push_back(now);
         self.unproven.push_back(UnprovenSend { at: now, is_cold: self.is_cold(now) });
         self.check.sends += 1;
+        true
     }
 
     /// Uncounts the last request, which was not sent.
@@ -263,8 +327,19 @@
         first.map_or(Duration::ZERO, |index| (sent_at(index) + BOUND_WINDOW).until(now))
     }
 
-    /// Sets the pacer to the rate in force.
-    fn update(&mut self, now: MilliTime) {
+    /// Applies the time that has passed: a slow start moves on, and the pacer gets the rate in force.
+    pub fn update(&mut self, now: MilliTime) {
+        let is_cold = self.is_cold(now);
+        if let Some(start) = &mut self.slow_start {
+            start.advance(now);
+            if is_cold {
+                start.cap();
+            }
+        }
+        let is_over = self.slow_start.as_ref().is_some_and(|start| start.is_over(now));
+        if (is_over && !is_cold) || self.terms.is_none() {
+            self.slow_start = None;
+        }
         let limit = self.rate(now).and_then(RequestLimit::new);
         match (&mut self.pacer, limit) {
             (Some(pacer), Some(limit)) => pacer.set_limit(now, limit),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -29,6 +29,7 @@
 pub mod root_admission;
 pub mod route_success;
 pub mod run_registry;
+pub mod slow_start;
 pub mod stop_schedule;
 pub mod store_position;
 pub mod surplus_doubt;
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -208,6 +208,7 @@
         if is_new {
             self.pool.reset();
             state.queue.reset_measurements(now);
+            state.queue.pace_mut().begin_slow_start(now);
         }
         if state.announced.as_ref() != Some(&target.incarnation) {
             state.announced = Some(target.incarnation.clone());
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -17,6 +17,7 @@
 mod retries;
 mod roots;
 mod shed;
+mod slow_start;
 mod stop_schedule;
 mod tokens;
 mod topic_position;
--- a/tests/suite/sidecar/cold_servers.rs
+++ b/tests/suite/sidecar/cold_servers.rs
@@ -64,8 +64,10 @@
     let entry = fleet.start("two", "prices").await;
     cold.backend.state_in_answers(&[(INSTANCE, "i-one"), (COLD_MILLIS, "0")]);
     fleet.until(&entry, "/read/1", KEY, 200).await;
-    let warm = cold.backend.arrivals();
     let entries = [&entry];
+    // The slow start.
+    flood(&fleet, &entries, 2 * SECOND).await;
+    let warm = cold.backend.arrivals();
     flood(&fleet, &entries, SECOND).await;
     expect_that!(cold.backend.arrivals() - warm, ge(100), "a warm server is not limited");
     let (_, since) = tokio::join!(flood(&fleet, &entries, 2 * SECOND), async {
