Keep requests in the allowed regions of route and organisation

Cause: allowed_regions was decoded and had no effect.

Change: RegionRule (policy/region_rule.rs) decides whether a request may run in a region; the choice of an instance, the resends and the order for suspects leave out zones of other regions, the local backend server included. If no linked instance is allowed, a link to an allowed one is opened, since a bounded choice of links may lead to other regions only. Requests without the field are dispatched as before.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod read_backoff;
 pub mod read_schedule;
+pub mod region_rule;
 pub mod request_identity;
 pub mod request_pacer;
 pub mod request_rank;
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -274,6 +274,20 @@
         probation_order(identity, state.planner.instances(service).chain(own_key))
     }
 
+    /// The other instances of `service` in the zones that `is_allowed` accepts.
+    pub(crate) fn instances_in(
+        &self,
+        service: &str,
+        is_allowed: impl Fn(&str) -> bool,
+    ) -> Vec<u64> {
+        let state = self.lock();
+        let is_allowed = |key: &u64| {
+            let entry = state.planner.entry(*key);
+            entry.is_some_and(|entry| is_allowed(&entry.availability_zone))
+        };
+        state.planner.instances(service).filter(is_allowed).collect()
+    }
+
     /// Keeps a link to the daemon with this key for a while; `true` if it is yet to be opened.
     pub(crate) fn want(&self, key: u64) -> bool {
         let now = self.clock.now();
--- a/src/sidecar/process/settings.rs
+++ b/src/sidecar/process/settings.rs
@@ -71,3 +71,12 @@
     /// Time after which a stopping process is killed.
     pub stop_bound: Duration,
 }
+
+impl SidecarSettings {
+    /// The region of an availability zone; `None` if the settings do not tell.
+    pub fn region_of(&self, zone: &str) -> Option<&str> {
+        let is_own = *zone == *self.availability_zone && !self.region.is_empty();
+        let region = if is_own { Some(&self.region) } else { self.zone_regions.get(zone) };
+        region.map(|region| &**region)
+    }
+}
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use smallvec::SmallVec;
 use tokio::time::sleep;
 
@@ -12,6 +13,7 @@
 use crate::policy::placement::{
     PlacementCandidate, choose_instance, choose_retry_instance, zone_penalty,
 };
+use crate::policy::region_rule::RegionRule;
 use crate::policy::request_identity::RequestIdentity;
 use crate::policy::root_admission::CostList;
 use crate::sidecar::connection::frame::PeerCall;
@@ -54,6 +56,7 @@
     shared: &'a Arc<SidecarShared>,
     call: &'a mut BackendCall,
     attempts_max: u32,
+    regions: RegionRule<'a>,
     tried: SmallVec<[u64; 4]>,
     /// Sends that may have reached a backend server.
     pub(crate) sends: u32,
@@ -88,11 +91,13 @@
         shared: &'a Arc<SidecarShared>,
         call: &'a mut BackendCall,
         attempts_max: u32,
+        regions: RegionRule<'a>,
     ) -> Self {
         RequestDispatch {
             shared,
             call,
             attempts_max: attempts_max.max(1),
+            regions,
             tried: SmallVec::new(),
             sends: 0,
             costs: CostList::new(),
@@ -232,7 +237,10 @@
     async fn next_destination(&self) -> Option<Destination> {
         let end = self.shared.clock.now() + INSTANCE_WAIT;
         loop {
-            let chosen = self.choose_destination();
+            let mut chosen = self.choose_destination();
+            if chosen.is_none() && self.regions.is_restricted() {
+                chosen = self.unlinked_destination().await;
+            }
             if chosen.is_some() || self.shared.clock.now() >= end || !self.tried.is_empty() {
                 return chosen;
             }
@@ -240,6 +248,23 @@
         }
     }
 
+    /// An instance in an allowed region to which this daemon has not linked: the links to a large
+    /// service may all lead to other regions.
+    async fn unlinked_destination(&self) -> Option<Destination> {
+        let service = &self.call.context.service;
+        let mut keys = self.shared.peers.instances_in(service, |zone| self.may_use(zone));
+        keys.retain(|key| !self.tried.contains(key));
+        let key = *keys.choose(&mut rand::rng())?;
+        let peer = self.linked_peer(key).await?;
+        let candidate = peer.candidate()?;
+        (candidate.load.slots > 0 && self.may_use(&peer.zone)).then_some(Destination::Peer(peer))
+    }
+
+    /// Whether the request may run in a zone.
+    fn may_use(&self, zone: &str) -> bool {
+        !self.shared.is_evacuated(zone) && self.regions.allows(self.shared.settings.region_of(zone))
+    }
+
     /// Waits until a suspect may run, and returns the standing that it then has.
     async fn settled_standing(&self) -> RequestStanding {
         loop {
@@ -257,7 +282,8 @@
     async fn probation_destination(&self) -> Option<Destination> {
         let service = &self.call.context.service;
         let order = self.shared.peers.probation_order(service, self.identity());
-        let is_own_service = *service == self.shared.settings.service;
+        let is_own_service = *service == self.shared.settings.service
+            && self.may_use(&self.shared.settings.availability_zone);
         for key in order.into_iter().filter(|key| !self.tried.contains(key)) {
             if key == self.shared.own_key {
                 if is_own_service && self.shared.backend_admission.load().slots > 0 {
@@ -265,7 +291,7 @@
                 }
                 continue;
             }
-            let peer = self.linked_peer(key).await;
+            let peer = self.linked_peer(key).await.filter(|peer| self.may_use(&peer.zone));
             let candidate = peer.as_ref().and_then(|peer| peer.candidate());
             if candidate.is_some_and(|candidate| candidate.load.slots > 0) {
                 return peer.map(Destination::Peer);
@@ -299,12 +325,16 @@
         let peers = self.shared.peers.of_service(service);
         let mut destinations: SmallVec<[Destination; 8]> = SmallVec::new();
         let mut candidates: SmallVec<[PlacementCandidate; 8]> = SmallVec::new();
-        if *service == self.shared.settings.service && !self.tried.contains(&self.shared.own_key) {
+        let is_own_service = *service == self.shared.settings.service;
+        if is_own_service
+            && !self.tried.contains(&self.shared.own_key)
+            && self.may_use(&self.shared.settings.availability_zone)
+        {
             destinations.push(Destination::Local);
             candidates.push(local_candidate(self.shared));
         }
         for peer in peers.iter().flat_map(|peers| peers.iter()) {
-            if self.tried.contains(&peer.key) || self.shared.is_evacuated(&peer.zone) {
+            if self.tried.contains(&peer.key) || !self.may_use(&peer.zone) {
                 continue;
             }
             if let Some(candidate) = peer.candidate() {
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -20,6 +20,7 @@
 use crate::error::ResultCode;
 use crate::policy::caller_retry::retry_delay;
 use crate::policy::crash_ledger::RequestStanding;
+use crate::policy::region_rule::RegionRule;
 use crate::policy::request_identity::{RequestContents, RequestIdentity};
 use crate::policy::request_rank::RequestRank;
 use crate::policy::retry_allowance::hash_fraction;
@@ -407,7 +408,12 @@
     trace: &mut RequestTrace<'_>,
 ) -> Result<BackendAnswer, RequestRefusal> {
     let remaining = call.deadline.until(shared.clock.now());
-    let mut dispatch = RequestDispatch::new(shared, call, identified.route.attempts_max);
+    let organisation = identified.organisation.as_ref();
+    let regions = RegionRule {
+        route: &identified.route.regions,
+        organisation: organisation.map_or(&[], |organisation| &organisation.regions),
+    };
+    let mut dispatch = RequestDispatch::new(shared, call, identified.route.attempts_max, regions);
     let ended = timeout(remaining, dispatch.run()).await;
     trace.sends = dispatch.sends;
     trace.instance = dispatch.instance.clone();
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -19,6 +19,7 @@
 mod odd_entries;
 mod outcomes;
 mod planned_server;
+mod regions;
 mod replica;
 mod restores;
 mod stops;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -449,6 +449,8 @@
 pub(super) struct TestFleet {
     /// The availability zone of the daemon of a name.
     zone_of: fn(&str) -> &str,
+    /// The region of each availability zone.
+    zone_regions: &'static [(&'static str, &'static str)],
     /// Time for a planned stop of a daemon.
     stop_bound: Duration,
     pub(super) store: Arc<MemoryStore>,
@@ -532,7 +534,14 @@
         store.write(StoreTopic::Configuration, "config", Some(config(1, true)));
         let client = Client::builder(TokioExecutor::new()).build_http();
         let stop_bound = STOP_BOUND;
-        TestFleet { zone_of: |_| "zone", stop_bound, store, client, next_id: AtomicUsize::new(0) }
+        TestFleet {
+            zone_of: |_| "zone",
+            zone_regions: &[],
+            stop_bound,
+            store,
+            client,
+            next_id: AtomicUsize::new(0),
+        }
     }
 
     /// A fleet whose daemons are each alone in an availability zone.
@@ -540,9 +549,14 @@
         TestFleet { zone_of: |name| name, ..Self::new() }
     }
 
-    /// A fleet whose daemons are in the availability zone that their names begin with, up to a dash.
+    /// A fleet whose daemons are in the availability zone that their names begin with, up to a dash;
+    /// `east` and `west` are in two regions.
     pub(super) fn with_shared_zones() -> Self {
-        TestFleet { zone_of: |name| name.split('-').next().unwrap_or(name), ..Self::new() }
+        TestFleet {
+            zone_of: |name| name.split('-').next().unwrap_or(name),
+            zone_regions: &[("east", "north"), ("west", "south")],
+            ..Self::new()
+        }
     }
 
     /// A fleet whose daemons have this time for a planned stop.
@@ -589,11 +603,17 @@
         backend: TestBackend,
         peer_listen: SocketAddr,
     ) -> TestDaemon {
+        let zone = (self.zone_of)(name);
+        let regions = self.zone_regions.iter().copied();
+        let region = regions
+            .clone()
+            .find(|(other, _)| *other == zone)
+            .map_or("region", |(_, region)| region);
         let settings = SidecarSettings {
             name: name.into(),
-            availability_zone: (self.zone_of)(name).into(),
-            region: "region".into(),
-            zone_regions: HashMap::new(),
+            availability_zone: zone.into(),
+            region: region.into(),
+            zone_regions: regions.map(|(zone, region)| (zone.into(), region.into())).collect(),
             service: service.into(),
             backend_address: backend.address,
             request_listen: free_address(),
