--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -23,6 +23,7 @@
 mod older_release;
 mod outcomes;
 mod planned_server;
+mod regions;
 mod replica;
 mod restores;
 mod stops;
