Limit of unknown cold servers only where terms for them are stated

Cause: a daemon that had just started let 5 requests a second through to its backend server until it had a configuration, also in deployments without limits of cold servers, which are to be served as before. The settings say whether a deployment has such limits.

Also the log field for the kind of a configuration entry is called kind: the test platform::boundary::wire_names_outside_adapter found the name on the wire in src/sidecar/version.

--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::backend_call::BackendCall;
+use super::settings::WarmUpTerms;
 use crate::clock::{MilliClock, MilliTime, wall_time};
 use crate::policy::admission_queue::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
@@ -175,10 +176,13 @@
         service: Arc<str>,
         pool: BackendPool,
         retry_terms: RetryTerms,
+        warm_up_terms: WarmUpTerms,
     ) -> Self {
         let now = clock.now();
         let mut queue = AdmissionQueue::new(now);
-        queue.pace_mut().set_terms(now, Some(ColdTerms::UNCONFIGURED));
+        // Deployments without cold servers state no terms for them.
+        let limits_cold = warm_up_terms != WarmUpTerms::default();
+        queue.pace_mut().set_terms(now, limits_cold.then_some(ColdTerms::UNCONFIGURED));
         queue.pace_mut().assume_former(now);
         let state = AdmissionState {
             queue,
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -143,6 +143,7 @@
                 settings.service.clone(),
                 pool,
                 settings.retry_terms,
+                settings.warm_up_terms,
             ),
             backend_watch: BackendWatch::default(),
             crash_watch: CrashWatch::default(),
--- a/src/sidecar/version/config_watch.rs
+++ b/src/sidecar/version/config_watch.rs
@@ -37,7 +37,7 @@
 #[derive(Serialize)]
 struct EntryErrorLine<'a> {
     version: u64,
-    entry_kind: &'a str,
+    kind: &'a str,
     name: &'a str,
     problem: &'a str,
 }
@@ -146,7 +146,7 @@
     for entry in &config.unreadable {
         let line = EntryErrorLine {
             version: config.version,
-            entry_kind: &entry.kind,
+            kind: &entry.kind,
             name: &entry.name,
             problem: &entry.problem,
         };
