Pace roots of a daemon that has just started

Cause: a daemon that has just started knows neither the cost of a root nor the demand, and admits everything. When a whole fleet starts under a load above the capacity of a deep service, that fills with runs that end late or fail.

Change: an entry admits at most 24 roots in flight from its first root on. The window doubles with each round of 0.2 s with good answers in which it was full, is halved as soon as a fifth of the answers are late, failed or refused, and ends after 2 s without a cut, at the latest after 6 s. Roots beyond it are refused at once with 2007. A daemon that restarts asks up to three peers (AskRootKnowledge) for the costs of routes and the admitted fractions (RootKnowledge), and then admits as they do. New: gauge start_window, events start_pace_refused and start_pace_cut, log line root-costs-learned.

Both messages are new enum values at the end; a daemon of an earlier release closes a link on which it reads the question, at most three times a start.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -15,7 +15,7 @@
 use crate::policy::incarnation::LeaveRecord;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::request_identity::RequestIdentity;
-use crate::policy::root_admission::CostList;
+use crate::policy::root_admission::{CostList, RootKnowledge};
 use crate::policy::store_position::StorePosition;
 use crate::policy::token_priority::{TokenCutoff, UrgencyCounts};
 use crate::sidecar::process::body_budget::{BodyBudget, BodyLease};
@@ -85,6 +85,10 @@
     TokenDemand(Vec<TokenDemand>),
     /// Which requests of organisations may take scarce tokens.
     TokenCutoffs(Vec<OrganisationCutoff>),
+    /// Asks the receiver for what it knows of roots; sent by a daemon that has just started.
+    AskRootKnowledge,
+    /// The costs of routes and the admitted fractions at the sender.
+    RootKnowledge(RootKnowledge),
 }
 
 /// A request to run at the receiver's backend server.
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -202,6 +202,9 @@
             link.complete_call(*answer);
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+        PeerMessage::RootKnowledge(knowledge) => {
+            shared.root_start.learn(shared, &peer.name, &knowledge);
+        }
         PeerMessage::TokenCutoffs(cutoffs) => shared.quota.set_cutoffs(&cutoffs),
         PeerMessage::Records { number, configuration, directory } => {
             let source = PositionSource::Daemon(peer.name.clone());
@@ -218,6 +221,9 @@
             if let Some(leaves) = shared.leaves_at(&peer.name) {
                 link.send(PeerMessage::Leaves(leaves));
             }
+            if shared.root_start.may_ask() {
+                link.send(PeerMessage::AskRootKnowledge);
+            }
         }
         PeerMessage::HoldLeaves { number, leaves } => {
             shared.hold_leaves(&peer.name, &leaves);
@@ -232,6 +238,7 @@
         | PeerMessage::Leaves(_)
         | PeerMessage::LeavesHeld { .. }
         | PeerMessage::RequestTokens(_)
-        | PeerMessage::TokenDemand(_) => {}
+        | PeerMessage::TokenDemand(_)
+        | PeerMessage::AskRootKnowledge => {}
     }
 }
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -164,6 +164,12 @@
                             return LinkError::Closed;
                         }
                     }
+                    PeerMessage::AskRootKnowledge => {
+                        let knowledge = PeerMessage::RootKnowledge(shared.root_start.knowledge(shared));
+                        if sender.send(knowledge).is_err() {
+                            return LinkError::Closed;
+                        }
+                    }
                     PeerMessage::TokenDemand(demands) => {
                         let cutoffs = shared.quota.observe_demand(&demands);
                         if !send_cutoffs(&sender, cutoffs) {
@@ -192,7 +198,8 @@
                     | PeerMessage::Load(_)
                     | PeerMessage::Answer(_)
                     | PeerMessage::HoldLeaves { .. }
-                    | PeerMessage::TokenCutoffs(_) => {}
+                    | PeerMessage::TokenCutoffs(_)
+                    | PeerMessage::RootKnowledge(_) => {}
                 }
             }
             Some(number) = ended.recv() => {
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod notice_watch;
 pub(crate) mod peer_table;
 pub(crate) mod quota_table;
+pub(crate) mod root_start;
 pub mod settings;
 pub mod sidecar_daemon;
 pub mod sidecar_metrics;
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -78,6 +78,8 @@
     limit_per_second: Gauge<f64, AtomicU64>,
     /// Organisations whose tokens are scarce, as the pools state.
     pub scarce_organisations: Gauge,
+    /// Roots that may be in flight after a start; 0 without a pace.
+    pub start_window: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -158,6 +160,12 @@
             "Organisations with a demand above their rate, as this daemon knows",
             scarce_organisations.clone(),
         );
+        let start_window = Gauge::default();
+        registry.register(
+            "start_window",
+            "Roots that may be in flight after a start, 0 while they are not paced",
+            start_window.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -174,6 +182,7 @@
             is_limited,
             limit_per_second,
             scarce_organisations,
+            start_window,
         }
     }
 }
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -20,6 +20,7 @@
 use super::notice_watch::NoticeWatch;
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
+use super::root_start::RootStart;
 use super::settings::SidecarSettings;
 use super::sidecar_metrics::SidecarMetrics;
 use super::store_report::DependencyLine;
@@ -70,6 +71,7 @@
     pub(crate) peers: PeerTable,
     pub(crate) quota: QuotaTable,
     pub(crate) root_admission: Mutex<RootAdmission>,
+    pub(crate) root_start: RootStart,
     pub(crate) route_success: Mutex<RouteSuccess>,
     pub(crate) retry_detector: Mutex<RetryDetector>,
     pub(crate) destination_split: Mutex<WeightedSplit>,
@@ -137,6 +139,7 @@
             peers: PeerTable::new(clock.clone(), &settings),
             quota: QuotaTable::new(clock.clone(), &settings.name, settings.rate_window),
             root_admission: Mutex::new(RootAdmission::new(now, settings.retry_terms.per_request)),
+            root_start: RootStart::default(),
             route_success: Mutex::default(),
             retry_detector: Mutex::default(),
             destination_split: Mutex::default(),
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -14,6 +14,7 @@
 
 use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause, UnknownCause};
 use super::dispatch::{DispatchOutcome, RequestDispatch};
+use super::paced_root::PacedRoot;
 use super::response::{RequestRefusal, answer_response, refusal_response};
 use super::trace::RequestTrace;
 use crate::clock::MilliTime;
@@ -25,6 +26,7 @@
 use crate::policy::retry_allowance::hash_fraction;
 use crate::policy::root_admission::{RootDecision, RootGroup, RootLimit};
 use crate::policy::route_success::RECOVERY_TIME;
+use crate::policy::start_pace::PACE_RETRY_AFTER;
 use crate::policy::token_priority::TokenUrgency;
 use crate::request::header::{end_to_end, parse_number};
 use crate::sidecar::connection::backend_pool::header_pairs;
@@ -115,10 +117,13 @@
     if let Some(organisation) = &identified.organisation {
         check_quota(shared, organisation, &identified).await?;
     }
-    let is_entitled = match &identified.parent {
-        Some(parent) => parent.context.is_entitled,
-        None if identified.rank.is_root => admit_root(shared, &identified, &trace.request)?,
-        None => false,
+    let (is_entitled, mut paced) = match &identified.parent {
+        Some(parent) => (parent.context.is_entitled, None),
+        None if identified.rank.is_root => {
+            let is_entitled = admit_root(shared, &identified, &trace.request)?;
+            (is_entitled, Some(admit_paced(shared, &identified)?))
+        }
+        None => (false, None),
     };
     let service = choose_service(shared, &identified.route);
     trace.service = Some(service.clone());
@@ -141,13 +146,8 @@
         headers: forward_headers(shared, &parts.headers, &body),
         body,
     };
-    let due = match &identified.parent {
-        Some(parent) => parent.due,
-        None => {
-            let target = identified.route.target_latency.min(identified.route.timeout);
-            trace.started + target
-        }
-    };
+    let target = identified.route.target_latency.min(identified.route.timeout);
+    let due = identified.parent.as_ref().map_or(trace.started + target, |parent| parent.due);
     let mut call = BackendCall {
         context,
         request: forward,
@@ -156,7 +156,9 @@
         due,
         runs_once: !identified.route.is_idempotent,
     };
-    dispatch(shared, &identified, &mut call, trace).await
+    let result = dispatch(shared, &identified, &mut call, trace).await;
+    paced.iter_mut().for_each(|paced| paced.record(&result, target));
+    result
 }
 
 /// Resolves the route, organisation, parent run and deadline of a request.
@@ -351,6 +353,17 @@
     Err(refuse_root(shared, identified, reason, capacity_in))
 }
 
+/// Admits a root to those in flight while this daemon has just started.
+fn admit_paced(
+    shared: &Arc<SidecarShared>,
+    identified: &IdentifiedRequest,
+) -> Result<PacedRoot, RequestRefusal> {
+    PacedRoot::admit(shared, &identified.route.name).ok_or_else(|| {
+        let reason = "this daemon has just started and as many roots are in flight as it allows";
+        refuse_root(shared, identified, reason.to_owned(), Some(PACE_RETRY_AFTER))
+    })
+}
+
 fn refuse_root(
     shared: &SidecarShared,
     identified: &IdentifiedRequest,
--- a/src/sidecar/request/mod.rs
+++ b/src/sidecar/request/mod.rs
@@ -3,5 +3,6 @@
 pub mod context;
 pub(crate) mod dispatch;
 pub(crate) mod handler;
+mod paced_root;
 pub(crate) mod response;
 mod trace;
