--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -82,6 +82,8 @@
     pub unreadable_entries: Gauge,
     /// Zones that are evacuated.
     pub evacuated_zones: Gauge,
+    /// Roots that may be in flight after a start; 0 without a pace.
+    pub start_window: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -174,6 +176,12 @@
             "Availability zones that are evacuated",
             evacuated_zones.clone(),
         );
+        let start_window = Gauge::default();
+        registry.register(
+            "start_window",
+            "Roots that may be in flight after a start, 0 while they are not paced",
+            start_window.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -192,6 +200,7 @@
             scarce_organisations,
             unreadable_entries,
             evacuated_zones,
+            start_window,
         }
     }
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -6,6 +6,7 @@
 mod caller_retry;
 mod crash_ledger;
 mod exchanges;
+mod fleet_start;
 mod incarnation;
 mod limits;
 mod link_subset;
