Tests of daemons that face crowds of untrusted callers

Change: `sidecar::untrusted` starts two daemon processes with 96 MB, 256 descriptors and lowered limits in the configuration, has a crowd act on one of them and checks that both live, that VmHWM and the open descriptors stay within these limits, and that ordinary requests are answered while the crowd is still there.

--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -22,3 +22,4 @@
 mod restores;
 mod stops;
 mod surplus_answers;
+mod untrusted;
--- a/tests/suite/sidecar/endless.rs
+++ b/tests/suite/sidecar/endless.rs
@@ -44,14 +44,26 @@
 const USUAL_CALLERS: usize = 8;
 
 /// A daemon process beside a backend server that announces itself; killed on drop.
-struct DaemonProcess {
+pub(super) struct DaemonProcess {
     child: Child,
-    plan: DaemonPlan,
+    pub(super) plan: DaemonPlan,
     _announcer: JoinSet<()>,
 }
 
 impl DaemonProcess {
     fn start(name: &str, service: &str, server: SocketAddr, store: &StoreServer) -> Self {
+        let limits = format!("memory_mb = {}\n", MEMORY_KB_MAX >> 10);
+        Self::start_limited(name, service, server, store, &limits)
+    }
+
+    /// Starts a process with these limits of the machine in its settings.
+    pub(super) fn start_limited(
+        name: &str,
+        service: &str,
+        server: SocketAddr,
+        store: &StoreServer,
+        limits: &str,
+    ) -> Self {
         let plan = DaemonPlan {
             name: name.to_owned(),
             zone: "zone".to_owned(),
@@ -66,7 +78,7 @@
         };
         let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("endless-{}-{name}.toml", std::process::id()));
-        let limits = format!("[self.limits]\nmemory_mb = {}\n", MEMORY_KB_MAX >> 10);
+        let limits = format!("[self.limits]\n{limits}");
         std::fs::write(&settings, settings_file(&plan) + &limits).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_lentilway"))
             .arg("sidecar")
@@ -81,13 +93,23 @@
     }
 
     /// The most memory that the process has used, in kilobytes.
-    fn peak_memory_kb(&self) -> u64 {
+    pub(super) fn peak_memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("the process runs");
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let number = line.and_then(|line| line.trim().split(' ').next());
         number.and_then(|number| number.parse().ok()).expect("a number of kilobytes")
     }
+
+    /// The process id.
+    pub(super) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has not ended.
+    pub(super) fn is_alive(&mut self) -> bool {
+        self.child.try_wait().expect("the process is a child of this one").is_none()
+    }
 }
 
 impl Drop for DaemonProcess {
@@ -114,7 +136,7 @@
 }
 
 /// Sends a request; 0 if the connection ends without an answer.
-async fn send(client: &HttpClient, entry: SocketAddr, path: &str, id: String) -> u16 {
+pub(super) async fn send(client: &HttpClient, entry: SocketAddr, path: &str, id: String) -> u16 {
     let request = Request::get(format!("http://{entry}{path}"))
         .header("host", HOST)
         .header(REQUEST_ID, id)
