--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -12,12 +12,12 @@
 use super::backend_call::BackendCall;
 use super::backend_pacing::cold_terms;
 use super::backend_watch::BackendWatch;
-use super::body_budget::{BodyBudget, UsualSize};
 use super::crash_watch::{CrashWatch, ProbationRun, not_run, observe_good_end};
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{DirectoryEntry, DirectoryView, KnownVersion, apply_directory};
 use super::exchange_log::SURPLUS_SERVER;
 use super::keyed_store::{KeyedStore, StoreRead, StoreTopic};
+use super::memory_budget::MemoryBudget;
 use super::notice_watch::NoticeWatch;
 use super::peer_table::{PeerEntry, PeerTable, instance_key};
 use super::quota_table::QuotaTable;
@@ -29,6 +29,7 @@
 use super::topic_replica::TopicChange;
 use super::wire_dialect::WireDialect;
 use crate::clock::{MilliClock, MilliTime};
+use crate::policy::answer_size::AnswerSizes;
 use crate::policy::backend_notice::{KnownNotice, NoticeMemory};
 use crate::policy::caller_retry::RetryDetector;
 use crate::policy::crash_ledger::RequestStanding;
@@ -84,10 +85,8 @@
     pub(crate) own_key: u64,
     pub(crate) store_view: StoreView,
     pub(crate) directory: Mutex<DirectoryView>,
-    /// Memory for the bodies in flight.
-    pub(crate) bodies: Arc<BodyBudget>,
-    /// The usual size of requests' bodies.
-    pub(crate) request_size: UsualSize,
+    /// Memory for what is held for others.
+    pub(crate) memory: Arc<MemoryBudget>,
     /// When this process started.
     pub(crate) started: MilliTime,
     /// Whether the directory known here lists this daemon.
@@ -100,11 +99,12 @@
     pub(crate) evacuated: ArcSwap<ZoneSet>,
     /// Held while evacuations are applied, so that they are applied in order.
     pub(crate) evacuation_order: Mutex<()>,
+    pub(crate) answer_sizes: AnswerSizes,
 }
 
 /// What another daemon reports of the store's topics.
 pub(crate) struct StoreReports {
-    pub(crate) configuration: Option<ConfigReport>,
+    pub(crate) configuration: Option<Box<ConfigReport>>,
     pub(crate) directory: Option<TopicReport>,
     pub(crate) evacuations: Option<EvacuationClaim>,
 }
@@ -133,11 +133,11 @@
         clock: MilliClock,
         log: DecisionLog,
     ) -> Self {
-        let bodies = BodyBudget::new(settings.body_bytes);
+        let memory = MemoryBudget::new(settings.memory_bytes);
         let headers = dialect.headers().clone();
         let metrics = SidecarMetrics::default();
         let idle_surplus = metrics.surplus_answers(SURPLUS_SERVER, "idle");
-        let pool = BackendPool::new(clock.clone(), headers, bodies.clone(), idle_surplus);
+        let pool = BackendPool::new(clock.clone(), headers, memory.clone(), idle_surplus);
         let now = clock.now();
         SidecarShared {
             backend_admission: BackendAdmission::new(
@@ -163,8 +163,7 @@
             own_key: instance_key(&settings.name),
             store_view: StoreView::new(clock.clone()),
             directory: Mutex::default(),
-            bodies,
-            request_size: UsualSize::default(),
+            memory,
             started: now,
             listed: watch::Sender::new(false),
             next_start_request: Mutex::new(now + START_REQUEST_DELAY),
@@ -172,6 +171,7 @@
             lost_dependencies: Mutex::default(),
             evacuated: ArcSwap::default(),
             evacuation_order: Mutex::default(),
+            answer_sizes: AnswerSizes::default(),
             metrics,
             settings,
             dialect,
@@ -351,7 +351,7 @@
         let now = self.clock.now();
         PeerMessage::Records {
             number,
-            configuration: self.store_view.configuration.report(now, version),
+            configuration: self.store_view.configuration.report(now, version).map(Box::new),
             directory: self.store_view.directory.report(now, directory),
             evacuations: Some(self.store_view.configuration.evacuation_claim()),
         }
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -28,3 +28,4 @@
 mod restores;
 mod stops;
 mod surplus_answers;
+mod untrusted;
