Log line and metrics of the pace of a backend server

Cause: operators could not see why a server that is cold or starts gets fewer requests.

Change: log line backend-pace with the rate in force, its cause, the known end of the coldness and the requests held back by cause; metrics lentilway_backend_cold, lentilway_backend_pace_per_second and lentilway_backend_held_back_total{cause}.

--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -206,6 +206,7 @@
             self.running += 1;
             return AdmissionDecision::Run;
         }
+        self.pace.count_held(now);
         self.next_number += 1;
         let ticket =
             WaitTicket { start_by: self.start_by(now, &request), number: self.next_number };
--- a/src/policy/backend_pace.rs
+++ b/src/policy/backend_pace.rs
@@ -72,6 +72,28 @@
     }
 }
 
+/// Why requests to a backend server are held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PaceCause {
+    /// It is cold, or has not reported whether it is.
+    Cold,
+    /// It started or returned a short time ago.
+    SlowStart,
+    /// It may have become cold since it last answered a health check.
+    Check,
+}
+
+/// Requests that did not run at once, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeldCounts {
+    /// See [`PaceCause::Cold`].
+    pub cold: u64,
+    /// See [`PaceCause::SlowStart`].
+    pub slow_start: u64,
+    /// See [`PaceCause::Check`].
+    pub check: u64,
+}
+
 /// A request that may have reached a cold server.
 #[derive(Clone, Copy, Debug)]
 struct UnprovenSend {
@@ -109,6 +131,7 @@
     /// Present while a rate is in force.
     pacer: Option<RequestPacer>,
     check: CheckState,
+    held: HeldCounts,
     slow_start: Option<SlowStart>,
     /// Whether a slow start is to begin once the configuration is known.
     is_start_due: bool,
@@ -127,6 +150,7 @@
             unproven: VecDeque::new(),
             pacer: None,
             check: CheckState::default(),
+            held: HeldCounts::default(),
             slow_start: None,
             is_start_due: false,
             usual_millis: SampleAverage::new(USUAL_SAMPLE_WEIGHT),
@@ -225,6 +249,43 @@
         [cold, starting].into_iter().flatten().reduce(f64::min)
     }
 
+    /// Why a rate is in force; `None` if there is none.
+    pub fn cause(&self, now: MilliTime) -> Option<PaceCause> {
+        match (self.is_cold(now), &self.slow_start) {
+            (true, _) => Some(PaceCause::Cold),
+            (false, Some(_)) => Some(PaceCause::SlowStart),
+            (false, None) => None,
+        }
+    }
+
+    /// Time for which the server is known to stay cold.
+    pub fn cold_for(&self, now: MilliTime) -> Duration {
+        self.cold_until.until(now)
+    }
+
+    /// Whether the configuration is known.
+    pub fn is_configured(&self) -> bool {
+        self.terms != Some(ColdTerms::UNCONFIGURED)
+    }
+
+    /// The requests that were held back.
+    pub fn held(&self) -> HeldCounts {
+        self.held
+    }
+
+    /// Counts an arriving request that does not run at once, if the pace holds it back.
+    pub fn count_held(&mut self, now: MilliTime) {
+        if self.wait(now, 0).is_none_or(|wait| wait.is_zero()) {
+            return;
+        }
+        let count = match self.cause(now) {
+            Some(PaceCause::Cold) => &mut self.held.cold,
+            Some(PaceCause::SlowStart) => &mut self.held.slow_start,
+            Some(PaceCause::Check) | None => &mut self.held.check,
+        };
+        *count += 1;
+    }
+
     /// Time until a request with `ahead` others before it may be sent; `None` if no limit applies.
     pub fn wait(&self, now: MilliTime, ahead: usize) -> Option<Duration> {
         let terms = self.terms?;
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::backend_call::BackendCall;
+use super::backend_pacing::LoggedPace;
 use crate::clock::{MilliClock, MilliTime, wall_time};
 use crate::policy::admission_queue::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
@@ -85,6 +86,8 @@
     pub(super) paced: Notify,
     /// Notified when a health check becomes due soon.
     pub(super) check: Notify,
+    /// The pace that was last logged.
+    pub(super) logged: Mutex<LoggedPace>,
     /// The load of the last such notification, with its time.
     notified: Mutex<(MilliTime, InstanceLoad)>,
 }
@@ -194,7 +197,19 @@
         let notified = Mutex::new((now, InstanceLoad::default()));
         let (state, paced) = (Mutex::new(state), Notify::new());
         let (check, started) = (Notify::new(), wall_time());
-        BackendAdmission { clock, service, started, pool, state, changed, paced, check, notified }
+        let logged = Mutex::default();
+        BackendAdmission {
+            clock,
+            service,
+            started,
+            pool,
+            state,
+            changed,
+            paced,
+            check,
+            logged,
+            notified,
+        }
     }
 
     /// Starts to admit requests to a backend server that stays cold for `cold_for`.
--- a/src/sidecar/process/backend_pacing.rs
+++ b/src/sidecar/process/backend_pacing.rs
@@ -7,13 +7,15 @@
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
+use serde::Serialize;
 use tokio::time::{sleep, timeout};
 
 use super::backend_admission::{AdmissionState, BackendAdmission};
+use super::decision_log::LineCategory;
 use super::sidecar_shared::SidecarShared;
 use super::wire_dialect::HeaderNames;
 use crate::policy::backend_notice::RequestLimit;
-use crate::policy::backend_pace::ColdTerms;
+use crate::policy::backend_pace::{ColdTerms, HeldCounts, PaceCause};
 use crate::sidecar::connection::backend_pool::BackendTarget;
 use crate::sidecar::connection::single_call::{CallLimits, call};
 use crate::sidecar::version::fleet_config::FleetConfig;
@@ -118,6 +120,87 @@
     }
 }
 
+/// The pace as it was last logged.
+#[derive(Debug, Default)]
+pub(crate) struct LoggedPace {
+    cause: Option<PaceCause>,
+    rate: Option<f64>,
+    held: HeldCounts,
+}
+
+#[derive(Serialize)]
+struct PaceLine<'a> {
+    backend: &'a str,
+    cause: &'static str,
+    per_second: Option<f64>,
+    cold_ms: u64,
+    held_cold: u64,
+    held_slow_start: u64,
+    held_check: u64,
+}
+
+fn cause_name(cause: Option<PaceCause>) -> &'static str {
+    match cause {
+        Some(PaceCause::Cold) => "cold",
+        Some(PaceCause::SlowStart) => "slow-start",
+        Some(PaceCause::Check) => "check",
+        None => "none",
+    }
+}
+
+/// Logs a changed pace, notifies peers of it, and updates the metrics.
+pub(crate) fn observe_pace(shared: &SidecarShared) {
+    let admission = &shared.backend_admission;
+    let now = shared.clock.now();
+    let (target, cause, rate, cold_for, held) = {
+        let mut state = admission.lock();
+        let pace = state.queue.pace_mut();
+        pace.update(now);
+        if !pace.is_configured() {
+            return;
+        }
+        let (cause, rate) = (pace.cause(now), pace.rate(now));
+        let (cold_for, held) = (pace.cold_for(now), pace.held());
+        (state.target.clone(), cause, rate, cold_for, held)
+    };
+    shared.metrics.set_pace(rate, cause == Some(PaceCause::Cold));
+    let mut logged = admission.logged.lock().expect("lock not poisoned");
+    let before = logged.held;
+    let since = HeldCounts {
+        cold: held.cold - before.cold,
+        slow_start: held.slow_start - before.slow_start,
+        check: held.check - before.check,
+    };
+    let counts = [
+        (PaceCause::Cold, since.cold),
+        (PaceCause::SlowStart, since.slow_start),
+        (PaceCause::Check, since.check),
+    ];
+    for (cause, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
+        shared.metrics.count_held(cause_name(Some(cause)), count);
+    }
+    logged.held = held;
+    let Some(target) = target else {
+        return;
+    };
+    if (logged.cause, logged.rate) == (cause, rate) {
+        return;
+    }
+    (logged.cause, logged.rate) = (cause, rate);
+    drop(logged);
+    admission.notify_change();
+    let line = PaceLine {
+        backend: &target.incarnation.id,
+        cause: cause_name(cause),
+        per_second: rate,
+        cold_ms: cold_for.as_millis() as u64,
+        held_cold: held.cold,
+        held_slow_start: held.slow_start,
+        held_check: held.check,
+    };
+    shared.log.write(LineCategory::Change, "backend-pace", &line);
+}
+
 /// What a cold backend server of this daemon's service may get, as the configuration says.
 pub(crate) fn cold_terms(shared: &SidecarShared, config: &FleetConfig) -> Option<ColdTerms> {
     let warm_up = config.service(&shared.settings.service)?.warm_up?;
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
+use super::backend_pacing::observe_pace;
 use super::decision_log::LineCategory;
 use super::directory::write_own_entry;
 use super::notice_watch::{log_limited, set_incarnation};
@@ -381,6 +382,7 @@
         shared.observe_own_load();
         shared.backend_admission.notify_load();
         log_limited(&shared);
+        observe_pace(&shared);
         let now = shared.clock.now();
         let is_silent = {
             let mut state = shared.backend_watch.lock();
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -51,6 +51,11 @@
     topic: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 /// The value of a position without which only a snapshot leads on.
 const NO_POSITION: i64 = -1;
 
@@ -76,6 +81,9 @@
     pub suspects: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
+    pace_per_second: Gauge<f64, AtomicU64>,
+    is_cold: Gauge,
+    held_back: Family<CauseLabels, Counter>,
 }
 
 fn latency_histogram() -> Histogram {
@@ -150,6 +158,24 @@
             "Requests that ran at backend servers that ended, and have not ended well since",
             suspects.clone(),
         );
+        let pace_per_second = Gauge::<f64, AtomicU64>::default();
+        registry.register(
+            "backend_pace_per_second",
+            "Requests per second that the backend server gets while it is cold or starts, 0 without a pace",
+            pace_per_second.clone(),
+        );
+        let is_cold = Gauge::default();
+        registry.register(
+            "backend_cold",
+            "Whether the limit of cold backend servers applies",
+            is_cold.clone(),
+        );
+        let held_back = Family::<CauseLabels, Counter>::default();
+        registry.register(
+            "backend_held_back",
+            "Requests that the pace of the backend server did not let run at once, by cause",
+            held_back.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -165,6 +191,9 @@
             suspects,
             is_limited,
             limit_per_second,
+            pace_per_second,
+            is_cold,
+            held_back,
         }
     }
 }
@@ -254,6 +283,32 @@
         self.limit_per_second.set(limit.map_or(0.0, RequestLimit::per_second));
     }
 
+    /// Sets the pace of the backend server, and whether it is cold.
+    ///
+    /// ```
+    /// use lentilway::sidecar::process::sidecar_metrics::SidecarMetrics;
+    /// let metrics = SidecarMetrics::default();
+    /// metrics.set_pace(Some(15.0), true);
+    /// assert!(metrics.text().contains("lentilway_backend_pace_per_second 15.0"));
+    /// assert!(metrics.text().contains("lentilway_backend_cold 1"));
+    /// ```
+    pub fn set_pace(&self, rate: Option<f64>, is_cold: bool) {
+        self.pace_per_second.set(rate.unwrap_or_default());
+        self.is_cold.set(i64::from(is_cold));
+    }
+
+    /// Counts requests that the pace of the backend server did not let run at once.
+    ///
+    /// ```
+    /// use lentilway::sidecar::process::sidecar_metrics::SidecarMetrics;
+    /// let metrics = SidecarMetrics::default();
+    /// metrics.count_held("cold", 3);
+    /// assert!(metrics.text().contains("lentilway_backend_held_back_total{cause=\"cold\"} 3"));
+    /// ```
+    pub fn count_held(&self, cause: &'static str, count: u64) {
+        self.held_back.get_or_create(&CauseLabels { cause }).inc_by(count);
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/tests/suite/sidecar/cold_servers.rs
+++ b/tests/suite/sidecar/cold_servers.rs
@@ -102,3 +102,19 @@
     let most = restarted.backend.most_arrivals_within(SECOND, since);
     expect_that!(most, all![ge(8), le(BOUND)]);
 }
+
+/// Operators could not tell a server that is held back from one that is not asked.
+#[gtest]
+#[tokio::test]
+async fn metrics_cold() {
+    let fleet = fleet(None);
+    let cold = fleet.start("one", "stock").await;
+    let entry = fleet.start("two", "prices").await;
+    fleet.until(&entry, "/read/1", KEY, 200).await;
+    fleet.announce_cold(&cold, 2, 4 * SECOND).await;
+    flood(&fleet, &[&entry], SECOND).await;
+    let text = fleet.metrics(&cold).await;
+    expect_that!(text, contains_substring("lentilway_backend_cold 1"));
+    expect_that!(text, contains_substring("lentilway_backend_pace_per_second 15.0"));
+    expect_that!(text, contains_substring("lentilway_backend_held_back_total{cause=\"cold\"}"));
+}
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -784,6 +784,15 @@
         timeout(WAIT_TIMEOUT, polled).await.expect("the expected status arrives in time");
     }
 
+    /// The metrics of a daemon.
+    pub(super) async fn metrics(&self, daemon: &TestDaemon) -> String {
+        let uri = format!("http://{}/metrics", daemon.settings.metrics_listen);
+        let request = Request::get(uri).body(Full::default()).unwrap();
+        let answer = self.client.request(request).await.unwrap();
+        let body = answer.into_body().collect().await.unwrap().to_bytes();
+        String::from_utf8(body.to_vec()).unwrap()
+    }
+
     /// The status of a readiness probe.
     pub(super) async fn ready(&self, daemon: &TestDaemon) -> u16 {
         let uri = format!("http://{}/api/readyz", daemon.settings.ready_listen);
