Test a server that becomes cold while its daemon restarts

Cause: the restart test had a server that the former process knew to be cold. The harder case is one that becomes cold as its daemon is killed: the former process sent at full rate, and the new one knows nothing of that.

Change: run_cold_since_restart with two senders and the daemon beside the server.

--- a/tests/suite/sidecar/cold_servers.rs
+++ b/tests/suite/sidecar/cold_servers.rs
@@ -103,6 +103,32 @@
     expect_that!(most, all![ge(8), le(BOUND)]);
 }
 
+/// The server becomes cold just as the daemon beside it is killed: the former process had sent at full
+/// rate and heard nothing, and the new one must not add the pace of a cold server to that.
+#[gtest]
+#[tokio::test]
+async fn run_cold_since_restart() {
+    let fleet = fleet(Some(HEALTH_PATH));
+    let cold = fleet.start("one", "stock").await;
+    let first = fleet.start("two", "prices").await;
+    let second = fleet.start("three", "prices").await;
+    let entries = [&first, &second];
+    cold.backend.state_in_answers(&[(INSTANCE, "i-one"), (COLD_MILLIS, "0")]);
+    // The slow start.
+    flood(&fleet, &entries, 2 * SECOND).await;
+    let restarts = async {
+        sleep(Duration::from_millis(300)).await;
+        cold.backend.state_in_answers(&[(INSTANCE, "i-one"), (COLD_MILLIS, "3000")]);
+        let since = Instant::now();
+        let restarted = fleet.restart_silent(cold).await;
+        fleet.announce_cold(&restarted, 3, 3 * SECOND).await;
+        (restarted, since)
+    };
+    let (_, (restarted, since)) = tokio::join!(flood(&fleet, &entries, 3 * SECOND), restarts);
+    let most = restarted.backend.most_arrivals_within(SECOND, since);
+    expect_that!(most, all![ge(8), le(BOUND)]);
+}
+
 /// Operators could not tell a server that is held back from one that is not asked.
 #[gtest]
 #[tokio::test]
