--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -6,5 +6,5 @@
 pub(crate) mod metered_stream;
 pub(crate) mod peer_link;
 pub(crate) mod peer_server;
-pub(crate) mod record_request;
+pub mod record_request;
 pub(crate) mod single_call;
--- a/stand-ins/src/link.rs
+++ b/stand-ins/src/link.rs
@@ -3,17 +3,20 @@
 
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 const BUFFER_BYTES: usize = 16 * 1024;
+/// Parts of up to `BUFFER_BYTES` that are delayed at a time; then no more is read.
+const DELAYED_PARTS_MAX: usize = 256;
 /// Time between attempts to reach a target that refuses connections.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -162,33 +165,60 @@
     }
 }
 
-async fn forward(
+async fn forward(from: OwnedReadHalf, to: OwnedWriteHalf, ends: &LinkEnds, is_from_target: bool) {
+    let (sender, receiver) = mpsc::channel(DELAYED_PARTS_MAX);
+    let mut reading = pin!(read_parts(from, sender, ends.mode.clone(), is_from_target));
+    let mut writing = pin!(write_parts(to, receiver));
+    let written = tokio::select! {
+        written = &mut writing => written,
+        is_open = &mut reading => writing.await.filter(|_| is_open),
+    };
+    let Some(mut to) = written else {
+        return;
+    };
+    if is_from_target {
+        ends.follow_target().await;
+    }
+    // This fails if the other side has already closed.
+    let _ = to.shutdown().await;
+}
+
+/// Bytes to write, and when.
+type DelayedPart = (Instant, Vec<u8>);
+
+/// Reads until the connection ends; `false` if the link is dropped first or nothing is written any
+/// more. What is delayed does not hold up what is read after it.
+async fn read_parts(
     mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    ends: &LinkEnds,
+    sender: mpsc::Sender<DelayedPart>,
+    mut mode: watch::Receiver<LinkMode>,
     is_from_target: bool,
-) {
-    let mut mode = ends.mode.clone();
+) -> bool {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let length = match from.read(&mut buffer).await {
             Ok(length) if length > 0 => length,
-            _ => break,
+            _ => return true,
         };
         if mode.wait_for(|mode| !mode.blocks(is_from_target)).await.is_err() {
-            return;
+            return false;
         }
         let current = *mode.borrow();
-        if let LinkMode::Delay(delay) = current {
-            sleep(delay).await;
-        }
-        if to.write_all(&buffer[..length]).await.is_err() {
-            return;
+        let delay = if let LinkMode::Delay(delay) = current { delay } else { Duration::ZERO };
+        if sender.send((Instant::now() + delay, buffer[..length].to_vec())).await.is_err() {
+            return false;
         }
     }
-    if is_from_target {
-        ends.follow_target().await;
+}
+
+/// Writes all parts, each when it is due, and returns where to; `None` if the connection fails.
+async fn write_parts(
+    mut to: OwnedWriteHalf,
+    mut parts: mpsc::Receiver<DelayedPart>,
+) -> Option<OwnedWriteHalf> {
+    while let Some((due, bytes)) = parts.recv().await {
+        sleep_until(due).await;
+        to.write_all(&bytes).await.ok()?;
     }
-    // This fails if the other side has already closed.
-    let _ = to.shutdown().await;
+    Some(to)
 }
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -21,6 +21,7 @@
 mod older_release;
 mod outcomes;
 mod planned_server;
+mod record_requests;
 mod replica;
 mod restores;
 mod stops;
