Take an answer with a status that none can have on a link for none

Cause: an answer on a link between daemons with a status such as 0, 99 or 1000 reached the caller as a 502 with the headers, signature and body of that answer, as if the backend server had sent it. One of an interim answer was passed on.

Change: answer_verdict::is_final_status (200 to 999) decides; PeerLink takes an answer with another status for spoiled, so that the request may have run (502) or is sent again if it is idempotent.

Tests: answer_invalid_status_line sends 18 status lines (000, 099, 1000, 0200, none, signs, extra blanks and others) on the direct path, at the daemon beside the server and at one that calls it. It passed before the change: the HTTP library rejects these lines. answer_invalid_status_on_link has a peer that answers calls with 0, 20, 99, 100, 101, 199, 1000, 2000 and 65535; it failed before the change and passes with it. The first form of the direct test failed once, as requests of a route that fails are refused at times (503, not run, and none reached the server); it now sends such a request again and checks that it did not arrive.

--- a/src/policy/answer_verdict.rs
+++ b/src/policy/answer_verdict.rs
@@ -13,6 +13,18 @@
 /// Statuses that promise a caller that its request did not run.
 const PROMISE_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 
+/// Whether a final answer can have this status: three digits, and not that of an interim answer.
+///
+/// ```
+/// use lentilway::policy::answer_verdict::is_final_status;
+/// assert!(is_final_status(200) && is_final_status(503));
+/// assert!(!is_final_status(0) && !is_final_status(99) && !is_final_status(1_000));
+/// assert!(!is_final_status(101));
+/// ```
+pub fn is_final_status(status: u16) -> bool {
+    (200..1_000).contains(&status)
+}
+
 /// The head of an answer, as far as it tells about the run.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerTraits {
@@ -62,7 +74,7 @@
     /// assert_eq!(copy.verdict(), AnswerVerdict::Spoiled);
     /// ```
     pub fn verdict(&self) -> AnswerVerdict {
-        if !self.origin.is_own() || self.status < 200 {
+        if !self.origin.is_own() || !is_final_status(self.status) {
             return AnswerVerdict::Spoiled;
         }
         if (200..300).contains(&self.status) {
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -12,9 +12,11 @@
 use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
+use crate::policy::answer_verdict::is_final_status;
 use crate::sidecar::process::peer_table::PeerEntry;
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 use crate::sidecar::process::store_view::PositionSource;
+use crate::sidecar::request::context::{CallOutcome, UnknownCause};
 
 pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(900);
 /// A link without messages for this long is closed: two keepalives are missing.
@@ -102,7 +104,12 @@
         self.record_requests.lock().expect("lock not poisoned").requested_at(number)
     }
 
-    fn complete_call(&self, answer: PeerAnswer) {
+    /// Ends the call that an answer names. An answer with a status that none can have is not the backend
+    /// server's, which may have run the request.
+    fn complete_call(&self, mut answer: PeerAnswer) {
+        if matches!(&answer.outcome, CallOutcome::Answered(from) if !is_final_status(from.status)) {
+            answer.outcome = CallOutcome::Unknown(UnknownCause::Spoiled);
+        }
         let waiting = self.pending.lock().expect("lock not poisoned").remove(&answer.number);
         if let Some(waiting) = waiting {
             // The caller may have been dropped meanwhile.
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -10,6 +10,7 @@
 mod fleet;
 pub(crate) mod floods;
 mod held_links;
+mod invalid_statuses;
 mod kept_connections;
 mod keys;
 mod leaves;
