lentilway check FILE [--against FILE]: check a configuration before it is sent

Cause: a fault in a version of the configuration showed only in the log lines of the daemons that had read it.

Change: sidecar/version/config_check.rs decides on a decoded version, without input and output; cli/check_command.rs reads the files and prints. Without a file, the command checks the settings as before.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -14,6 +14,10 @@
   lentilway run --log-url http://10.0.0.5:7000 --availability-zone az1 \\
     --peer-secret-file /run/secrets/peer --operator-token-file /run/secrets/operator";
 
+const CHECK_EXAMPLE: &str = "Examples:
+  lentilway check --log-url http://10.0.0.5:7000 --availability-zone az1
+  lentilway check config.json --against config-in-force.json";
+
 const SUBMIT_EXAMPLE: &str = "Examples:
   lentilway ticket submit ticket.json
   lentilway ticket submit --dry-run ticket.json
@@ -34,8 +38,9 @@
     /// Run the daemon beside a backend server
     #[command(after_help = RUN_EXAMPLE)]
     Run(RunArgs),
-    /// Check the daemon's settings and print all faults
-    Check(RunArgs),
+    /// Check the daemon's settings, or a configuration in a file, and print all faults
+    #[command(after_help = CHECK_EXAMPLE)]
+    Check(CheckArgs),
     /// Run the daemon on the users' platform, from the settings file that it provides
     Sidecar(SidecarArgs),
     /// Submit and look up change tickets
@@ -57,6 +62,18 @@
     Man,
 }
 
+/// What to check.
+#[derive(Debug, Args)]
+pub struct CheckArgs {
+    /// A version of the configuration on the users' platform; without it, the settings are checked
+    pub file: Option<PathBuf>,
+    /// The version in force, to show the differences from
+    #[arg(long, value_name = "FILE", requires = "file")]
+    pub against: Option<PathBuf>,
+    #[command(flatten)]
+    pub settings: RunArgs,
+}
+
 /// Options for running on the users' platform.
 #[derive(Debug, Args)]
 pub struct SidecarArgs {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use super::args::{KeyCommand, LentilwayArgs, LentilwayCommand, RunArgs};
+use super::args::{CheckArgs, KeyCommand, LentilwayArgs, LentilwayCommand, RunArgs};
+use super::check_command::run_check;
 use super::manual::{print_completions, print_manual};
 use super::status_command::run_status;
 use super::ticket_command::run_ticket;
@@ -23,7 +24,10 @@
     let args = LentilwayArgs::parse();
     let code = match args.command {
         LentilwayCommand::Run(args) => run(&args),
-        LentilwayCommand::Check(args) => check(&args),
+        LentilwayCommand::Check(CheckArgs { file: Some(file), against, .. }) => {
+            run_check(&file, against.as_deref())
+        }
+        LentilwayCommand::Check(args) => check(&args.settings),
         LentilwayCommand::Sidecar(args) if args.check => check_settings(),
         LentilwayCommand::Sidecar(_) => run_sidecar(),
         LentilwayCommand::Ticket(command) => block_on(run_ticket(command)),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin_client;
 mod args;
+mod check_command;
 mod command;
 mod manual;
 mod report;
--- a/src/sidecar/version/fleet_config.rs
+++ b/src/sidecar/version/fleet_config.rs
@@ -198,6 +198,21 @@
         self.organisations.get(name)
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<FleetRoute>> {
+        self.routes.values().flatten()
+    }
+
+    /// All services that have an entry.
+    pub fn services(&self) -> impl Iterator<Item = &FleetService> {
+        self.services.values()
+    }
+
+    /// The keys of the organisation with this name.
+    pub fn keys_of(&self, name: &str) -> impl Iterator<Item = &Arc<str>> {
+        self.keys.iter().filter(move |(_, owner)| &*owner.name == name).map(|(key, _)| key)
+    }
+
     /// The names of all routes.
     pub fn route_names(&self) -> HashSet<Arc<str>> {
         self.routes.values().flatten().map(|route| route.name.clone()).collect()
--- a/src/sidecar/version/mod.rs
+++ b/src/sidecar/version/mod.rs
@@ -1,4 +1,5 @@
 //! Versions of the configuration and how they are read.
 
+pub mod config_check;
 pub(crate) mod config_watch;
 pub mod fleet_config;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod claim_shards;
 mod claims;
 mod codes;
+mod config_check;
 mod copying_server;
 mod draining;
 mod identity;
