--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -4,21 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use super::frame::{
+    FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage, write_frames,
+};
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
 use crate::policy::store_position::StorePosition;
+use crate::policy::zone_evacuation::ZoneSet;
 use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::backend_watch::note_leaves;
 use crate::sidecar::process::notice_watch::learn_notice;
-use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::process::sidecar_shared::{SidecarShared, StoreReports};
 use crate::sidecar::process::store_view::PositionSource;
 
 /// Accepts links from other daemons until the task is aborted.
@@ -55,6 +59,10 @@
     asked: Option<MilliTime>,
     version: u64,
     directory: Option<StorePosition>,
+    /// The last record sent that this daemon cannot read; it is sent once.
+    unread: Option<Bytes>,
+    /// The evacuated zones of the last message.
+    evacuated: Arc<ZoneSet>,
 }
 
 impl RecordFollower {
@@ -72,7 +80,13 @@
     ) -> PeerMessage {
         self.version = shared.store_view.configuration.version().max(version);
         self.directory = shared.store_view.directory.cursor().max(directory);
-        shared.store_reports(number, version, directory)
+        self.evacuated = shared.evacuated.load_full();
+        let mut reports = shared.store_reports(number, version, directory);
+        if let PeerMessage::Records { configuration: Some(report), .. } = &mut reports {
+            let unread = report.unread.take_if(|unread| self.unread.as_ref() == Some(unread));
+            self.unread = unread.or_else(|| report.unread.clone());
+        }
+        reports
     }
 
     /// The records that changed since the last message, if the daemon asked for any lately.
@@ -82,6 +96,7 @@
         let view = &shared.store_view;
         let has_news =
             view.configuration.version() > self.version || view.directory.cursor() > self.directory;
+        let has_news = has_news || *self.evacuated != **shared.evacuated.load();
         has_news.then(|| self.reports(shared, None, self.version, self.directory))
     }
 }
@@ -97,6 +112,14 @@
     }
 }
 
+/// Sends cutoffs, if there are any; `false` if the link is closed.
+fn send_cutoffs(
+    sender: &mpsc::UnboundedSender<PeerMessage>,
+    cutoffs: Vec<OrganisationCutoff>,
+) -> bool {
+    cutoffs.is_empty() || sender.send(PeerMessage::TokenCutoffs(cutoffs)).is_ok()
+}
+
 async fn read_calls(
     shared: &Arc<SidecarShared>,
     reader: &mut FrameReader,
@@ -137,12 +160,28 @@
                     PeerMessage::Cancel(number) => {
                         calls.running.remove(&number).iter().for_each(AbortHandle::abort);
                     }
-                    PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+                    PeerMessage::Tokens(amounts) => {
+                        shared.quota.receive(&amounts);
+                        let cutoffs = shared.quota.cutoffs(&amounts);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
+                    }
                     PeerMessage::RequestTokens(requests) => {
                         let lent = shared.quota.lend(&requests);
                         if !lent.is_empty() && sender.send(PeerMessage::Tokens(lent)).is_err() {
                             return LinkError::Closed;
                         }
+                        let cutoffs = shared.quota.cutoffs(&requests);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
+                    }
+                    PeerMessage::TokenDemand(demands) => {
+                        let cutoffs = shared.quota.observe_demand(&demands);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
                     }
                     PeerMessage::AskRecords { number, version, directory } => {
                         follower.ask(shared.clock.now());
@@ -151,10 +190,11 @@
                             return LinkError::Closed;
                         }
                     }
-                    PeerMessage::Records { number, configuration, directory } => {
+                    PeerMessage::Records { number, configuration, directory, evacuations } => {
                         let requested = start_requests.requested_at(number);
                         let source = PositionSource::LinkedDaemon;
-                        shared.merge_reports(&source, requested, configuration, directory);
+                        let reports = StoreReports { configuration, directory, evacuations };
+                        shared.merge_reports(&source, requested, reports);
                     }
                     PeerMessage::Notice(notice) => learn_notice(shared, notice),
                     PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
@@ -165,7 +205,8 @@
                     | PeerMessage::Alive
                     | PeerMessage::Load(_)
                     | PeerMessage::Answer(_)
-                    | PeerMessage::HoldLeaves { .. } => {}
+                    | PeerMessage::HoldLeaves { .. }
+                    | PeerMessage::TokenCutoffs(_) => {}
                 }
             }
             Some(number) = ended.recv() => {
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -11,13 +11,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::backend_call::BackendCall;
-use super::backend_pacing::LoggedPace;
+use super::backend_pacing::{LoggedPace, starting_queue};
+use super::settings::WarmUpTerms;
 use crate::clock::{MilliClock, MilliTime, wall_time};
 use crate::policy::admission_queue::{
     AdmissionDecision, AdmissionQueue, AdmissionRefusal, AdmissionRequest, RunEnd, WaitOutcome,
     WaitTicket,
 };
-use crate::policy::backend_pace::ColdTerms;
 use crate::policy::incarnation::BackendIncarnation;
 use crate::policy::placement::InstanceLoad;
 use crate::policy::retry_allowance::{RetryAllowance, RetryClaim, RetryTerms};
@@ -64,7 +64,7 @@
     runs: RunRegistry<Arc<RunRecord>>,
     pub(super) target: Option<BackendTarget>,
     /// The incarnation that announced itself last.
-    announced: Option<BackendIncarnation>,
+    pub(super) announced: Option<BackendIncarnation>,
     /// The last incarnation of the backend server that ended without notice.
     ended: Option<BackendIncarnation>,
     /// The daemon is stopping: admission is never opened again.
@@ -77,7 +77,7 @@
     pub(super) clock: MilliClock,
     service: Arc<str>,
     /// When this process started, in milliseconds since the Unix epoch.
-    started: MilliTime,
+    pub(super) started: MilliTime,
     pool: BackendPool,
     state: Mutex<AdmissionState>,
     /// Incremented when peers must learn of the load at once.
@@ -178,13 +178,11 @@
         service: Arc<str>,
         pool: BackendPool,
         retry_terms: RetryTerms,
+        warm_up_terms: WarmUpTerms,
     ) -> Self {
         let now = clock.now();
-        let mut queue = AdmissionQueue::new(now);
-        queue.pace_mut().set_terms(now, Some(ColdTerms::UNCONFIGURED));
-        queue.pace_mut().assume_former(now);
         let state = AdmissionState {
-            queue,
+            queue: starting_queue(now, warm_up_terms),
             waiters: HashMap::new(),
             retries: RetryAllowance::new(now, retry_terms),
             runs: RunRegistry::default(),
@@ -225,14 +223,7 @@
             state.queue.reset_measurements(now);
             state.queue.pace_mut().begin_slow_start(now);
         }
-        if state.announced.as_ref() != Some(&target.incarnation) {
-            state.announced = Some(target.incarnation.clone());
-            state.queue.pace_mut().start_incarnation(now);
-            if target.incarnation.born >= self.started.0 {
-                state.queue.pace_mut().exclude_former();
-            }
-        }
-        state.queue.pace_mut().report(now, cold_for);
+        self.report_start(&mut state, &target.incarnation, cold_for);
         state.target = Some(target);
         state.queue.set_slots(slots);
         self.start_queued(&mut state);
@@ -250,6 +241,15 @@
         self.notify_change();
     }
 
+    /// Sets whether the zone is evacuated, in which nothing is admitted; runs under way finish.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        let mut state = self.lock();
+        state.queue.set_evacuated(is_evacuated);
+        self.start_queued(&mut state);
+        drop(state);
+        self.notify_change();
+    }
+
     /// Suspends admission permanently.
     pub(crate) fn close(&self) {
         self.lock().is_closed = true;
--- a/src/sidecar/process/config_copy.rs
+++ b/src/sidecar/process/config_copy.rs
@@ -1,4 +1,4 @@
-//! This daemon's copy of the newest configuration, and its freshness.
+//! This daemon's copy of the newest configuration and of the evacuated zones, and its freshness.
 
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use crate::clock::MilliTime;
 use crate::policy::config_state::{ConfigChange, ConfigClaim, ConfigRead, ConfigState};
 use crate::policy::store_position::{StoreEra, StorePosition};
+use crate::policy::zone_evacuation::{EvacuationClaim, EvacuationRead, EvacuationState, ZoneSet};
 use crate::sidecar::connection::frame::ConfigReport;
 
 /// A version of the configuration and its record, which other daemons are given.
@@ -17,13 +18,30 @@
     pub(crate) record: Bytes,
 }
 
+/// A record of the configuration that cannot be read here.
+#[derive(Debug)]
+struct UnreadRecord {
+    version: Option<u64>,
+    record: Bytes,
+    /// Whether no later version is in force.
+    is_newest: bool,
+}
+
 #[derive(Debug, Default)]
 struct CopyState {
     known: ConfigState,
     newest: Option<VersionRecord>,
+    unread: Option<UnreadRecord>,
+    evacuations: EvacuationState,
 }
 
 impl CopyState {
+    /// The position from which the store is read on: no record of either kind is passed over.
+    fn read_position(&self) -> Option<StorePosition> {
+        let position = self.known.read_position()?;
+        Some(position.min(self.evacuations.read_position()?))
+    }
+
     fn take(
         &mut self,
         change: ConfigChange,
@@ -33,6 +51,10 @@
         if change.is_newer {
             apply();
             self.newest = found;
+            let in_force = self.known.version();
+            if let Some(unread) = &mut self.unread {
+                unread.is_newest &= unread.version.is_some_and(|version| version > in_force);
+            }
         }
         change.is_proof
     }
@@ -50,29 +72,57 @@
         self.lock().known.version()
     }
 
+    /// Records that a version cannot be read here; `None` if its number cannot be read either. Returns
+    /// whether it is another record than the last one.
+    pub(crate) fn reject(&self, version: Option<u64>, record: &Bytes) -> bool {
+        let mut state = self.lock();
+        if state.unread.as_ref().is_some_and(|unread| unread.record == record) {
+            return false;
+        }
+        let is_newest = version.is_none_or(|version| version > state.known.version());
+        if is_newest {
+            state.known.reject(version);
+            state.unread = Some(UnreadRecord { version, record: record.clone(), is_newest });
+        }
+        true
+    }
+
+    /// Whether this is the last record that could not be read here.
+    pub(crate) fn is_rejected(&self, record: &Bytes) -> bool {
+        self.lock().unread.as_ref().is_some_and(|unread| unread.record == record)
+    }
+
     /// The position from which the store is read on; `None` if only a snapshot leads on.
     pub(crate) fn read_position(&self) -> Option<StorePosition> {
-        self.lock().known.read_position()
+        self.lock().read_position()
     }
 
     /// Records that the store no longer has the records before `first`.
     pub(crate) fn refuse_before(&self, first: StorePosition) {
-        self.lock().known.refuse_before(first);
+        let mut state = self.lock();
+        state.known.refuse_before(first);
+        state.evacuations.refuse_before(first);
     }
 
     /// Records that the store does not know the position.
     pub(crate) fn discard_position(&self) {
-        self.lock().known.discard_position();
+        let mut state = self.lock();
+        state.known.discard_position();
+        state.evacuations.discard_position();
     }
 
     /// Records that a snapshot requested after all refusals ends at `end`, before what they named.
     pub(crate) fn resume_at(&self, end: StorePosition) {
-        self.lock().known.resume_at(end);
+        let mut state = self.lock();
+        state.known.resume_at(end);
+        state.evacuations.resume_at(end);
     }
 
     /// Records that the store is in `era` or a later one.
     pub(crate) fn enter_era(&self, era: StoreEra) {
-        self.lock().known.enter_era(era);
+        let mut state = self.lock();
+        state.known.enter_era(era);
+        state.evacuations.enter_era(era);
     }
 
     /// The age of the freshness proof.
@@ -90,19 +140,21 @@
         self.lock().known.first_version(era)
     }
 
-    /// Merges a read of the store up to `position`. It proves the state as of `proven`, if that is
-    /// given, unless it lacks `floor`, a version that others know of; returns whether it does.
-    /// `apply` puts the version in force that was found.
+    /// Merges a read of the store; `evacuations` is what it says of them. It proves the state as of
+    /// `proven`, if that is given, unless it lacks `floor`, a version that others know of; returns
+    /// whether it does. `apply` puts the version in force that was found.
     pub(crate) fn merge_read(
         &self,
-        position: StorePosition,
+        evacuations: EvacuationRead,
         (proven, floor): (Option<MilliTime>, u64),
         found: Option<VersionRecord>,
         apply: impl FnOnce(),
     ) -> bool {
         let found_version = found.as_ref().map(|found| found.version);
-        let read = ConfigRead { position, found: found_version, proven, floor };
+        let read =
+            ConfigRead { position: evacuations.position, found: found_version, proven, floor };
         let mut state = self.lock();
+        state.evacuations.merge_read(evacuations);
         let change = state.known.merge_read(&read);
         state.take(change, found, apply)
     }
@@ -138,14 +190,31 @@
         let age_millis =
             state.known.age(now).map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         let newest = state.newest.as_ref().filter(|newest| newest.version > version);
+        let unread = state.unread.as_ref().filter(|unread| unread.is_newest);
         Some(ConfigReport {
             version: state.known.version(),
-            position: state.known.read_position(),
+            position: state.read_position(),
             age_millis,
             record: newest.map(|newest| newest.record.clone()),
+            unread: unread.map(|unread| unread.record.clone()),
         })
     }
 
+    /// The zones whose evacuation is known here.
+    pub(crate) fn evacuated(&self) -> ZoneSet {
+        self.lock().evacuations.evacuated()
+    }
+
+    /// Merges what another daemon knows of evacuations.
+    pub(crate) fn merge_evacuations(&self, claim: &EvacuationClaim) {
+        self.lock().evacuations.merge_claim(claim);
+    }
+
+    /// What other daemons are told of evacuations.
+    pub(crate) fn evacuation_claim(&self) -> EvacuationClaim {
+        self.lock().evacuations.claim()
+    }
+
     fn lock(&self) -> MutexGuard<'_, CopyState> {
         self.state.lock().expect("lock not poisoned")
     }
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -84,6 +84,12 @@
     pace_per_second: Gauge<f64, AtomicU64>,
     is_cold: Gauge,
     held_back: Family<CauseLabels, Counter>,
+    /// Organisations whose tokens are scarce, as the pools state.
+    pub scarce_organisations: Gauge,
+    /// Entries of the configuration in force that are left out or served with restrictions.
+    pub unreadable_entries: Gauge,
+    /// Zones that are evacuated.
+    pub evacuated_zones: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -176,6 +182,24 @@
             "Requests that the pace of the backend server did not let run at once, by cause",
             held_back.clone(),
         );
+        let scarce_organisations = Gauge::default();
+        registry.register(
+            "scarce_organisations",
+            "Organisations with a demand above their rate, as this daemon knows",
+            scarce_organisations.clone(),
+        );
+        let unreadable_entries = Gauge::default();
+        registry.register(
+            "configuration_unreadable_entries",
+            "Entries of the configuration in force that are left out or served with restrictions",
+            unreadable_entries.clone(),
+        );
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            evacuated_zones.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -194,6 +218,9 @@
             pace_per_second,
             is_cold,
             held_back,
+            scarce_organisations,
+            unreadable_entries,
+            evacuated_zones,
         }
     }
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -19,5 +19,7 @@
 mod shed;
 mod slow_start;
 mod stop_schedule;
+mod token_surge;
 mod tokens;
 mod topic_position;
+mod zone_evacuation;
--- a/tests/suite/policy/slow_start.rs
+++ b/tests/suite/policy/slow_start.rs
@@ -134,6 +134,8 @@
     let mut queue = AdmissionQueue::new(MilliTime(0));
     queue.pace_mut().begin_slow_start(MilliTime(0));
     expect_that!(queue.pace().rate(MilliTime(0)), none());
+    queue.pace_mut().set_terms(MilliTime(0), None);
+    expect_that!(queue.pace().rate(MilliTime(0)), none());
     queue.pace_mut().set_terms(MilliTime(0), Some(ColdTerms::UNCONFIGURED));
     queue.pace_mut().report(MilliTime(0), Duration::ZERO);
     queue.pace_mut().begin_slow_start(MilliTime(0));
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -31,6 +31,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::log_output::LogOutput;
+use super::older_release::OlderDialect;
+
 /// When the backend servers of a fleet started, in milliseconds since the Unix epoch.
 const FIRST_BORN: u64 = 1;
 pub(super) const HOST: &str = "shop.example";
@@ -446,17 +449,23 @@
     pub(super) daemon: SidecarDaemon,
     pub(super) settings: SidecarSettings,
     pub(super) backend: TestBackend,
+    /// What it logs.
+    pub(super) output: LogOutput,
 }
 
 /// A store shared by daemons, and a client.
 pub(super) struct TestFleet {
-    /// Whether each daemon is alone in its availability zone.
-    has_zones: bool,
+    /// The availability zone of the daemon of a name.
+    zone_of: fn(&str) -> &str,
+    /// The region of each availability zone.
+    zone_regions: &'static [(&'static str, &'static str)],
     /// Time for a planned stop of a daemon.
     stop_bound: Duration,
     pub(super) store: Arc<MemoryStore>,
     pub(super) client: Client<HttpConnector, Full<Bytes>>,
     next_id: AtomicUsize,
+    /// Daemons that are started reject versions of the configuration above this one.
+    readable_max: AtomicU64,
 }
 
 /// Ports that the system does not assign by itself, so that none is taken between its choice and
@@ -549,12 +558,30 @@
         store.write(StoreTopic::Configuration, "config", Some(config(1, true)));
         let client = Client::builder(TokioExecutor::new()).build_http();
         let stop_bound = STOP_BOUND;
-        TestFleet { has_zones: false, stop_bound, store, client, next_id: AtomicUsize::new(0) }
+        TestFleet {
+            zone_of: |_| "zone",
+            zone_regions: &[],
+            stop_bound,
+            store,
+            client,
+            next_id: AtomicUsize::new(0),
+            readable_max: AtomicU64::new(u64::MAX),
+        }
     }
 
     /// A fleet whose daemons are each alone in an availability zone.
     pub(super) fn with_zones() -> Self {
-        TestFleet { has_zones: true, ..Self::new() }
+        TestFleet { zone_of: |name| name, ..Self::new() }
+    }
+
+    /// A fleet whose daemons are in the availability zone that their names begin with, up to a dash;
+    /// `east` and `west` are in two regions.
+    pub(super) fn with_shared_zones() -> Self {
+        TestFleet {
+            zone_of: |name| name.split('-').next().unwrap_or(name),
+            zone_regions: &[("east", "north"), ("west", "south")],
+            ..Self::new()
+        }
     }
 
     /// A fleet whose daemons have this time for a planned stop.
@@ -601,11 +628,17 @@
         backend: TestBackend,
         peer_listen: SocketAddr,
     ) -> TestDaemon {
+        let zone = (self.zone_of)(name);
+        let regions = self.zone_regions.iter().copied();
+        let region = regions
+            .clone()
+            .find(|(other, _)| *other == zone)
+            .map_or("region", |(_, region)| region);
         let settings = SidecarSettings {
             name: name.into(),
-            availability_zone: if self.has_zones { name.into() } else { "zone".into() },
-            region: "region".into(),
-            zone_regions: HashMap::new(),
+            availability_zone: zone.into(),
+            region: region.into(),
+            zone_regions: regions.map(|(zone, region)| (zone.into(), region.into())).collect(),
             service: service.into(),
             backend_address: backend.address,
             request_listen: free_address(),
@@ -629,12 +662,14 @@
             rate_window: RateWindow { span: Duration::from_secs(5), slack: 20.0, overage: 0.1 },
             stop_bound: self.stop_bound,
         };
-        let log = DecisionLog::new(MilliClock::monotonic(), Box::new(std::io::sink()));
-        let dialect = Arc::new(PlatformDialect::default());
+        let output = LogOutput::default();
+        let log = DecisionLog::new(MilliClock::monotonic(), Box::new(output.clone()));
+        let readable_max = self.readable_max.load(Ordering::SeqCst);
+        let dialect = Arc::new(OlderDialect { newer: PlatformDialect::default(), readable_max });
         let started =
             SidecarDaemon::start(settings.clone(), dialect, self.store.clone(), log).await;
         let daemon = started.unwrap_or_else(|error| panic!("{error}"));
-        TestDaemon { daemon, settings, backend }
+        TestDaemon { daemon, settings, backend, output }
     }
 
     /// Announces the backend server of a daemon; `number` must increase.
@@ -698,7 +733,7 @@
 
     /// Kills a daemon and starts it again; its backend server does not announce itself.
     pub(super) async fn restart_silent(&self, stopped: TestDaemon) -> TestDaemon {
-        let TestDaemon { daemon, settings, backend } = stopped;
+        let TestDaemon { daemon, settings, backend, .. } = stopped;
         daemon.abort().await;
         let (name, service) = (settings.name, settings.service);
         self.start_with(&name, &service, backend, settings.peer_listen).await
@@ -706,7 +741,7 @@
 
     /// Stops a daemon as planned and starts it again; its backend server does not announce itself.
     pub(super) async fn stop_and_start(&self, stopped: TestDaemon) -> TestDaemon {
-        let TestDaemon { daemon, settings, backend } = stopped;
+        let TestDaemon { daemon, settings, backend, .. } = stopped;
         daemon.stop().await;
         // Its aborted tasks close the listener soon after.
         while std::net::TcpListener::bind(settings.peer_listen).is_err() {
@@ -716,6 +751,11 @@
         self.start_with(&name, &service, backend, settings.peer_listen).await
     }
 
+    /// Has daemons that are started from now on reject versions of the configuration above this one.
+    pub(super) fn set_readable_max(&self, version: u64) {
+        self.readable_max.store(version, Ordering::SeqCst);
+    }
+
     /// Has the ids of the requests that follow count from `number`.
     pub(super) fn skip_ids_to(&self, number: usize) {
         self.next_id.store(number, Ordering::SeqCst);
@@ -788,9 +828,8 @@
     pub(super) async fn metrics(&self, daemon: &TestDaemon) -> String {
         let uri = format!("http://{}/metrics", daemon.settings.metrics_listen);
         let request = Request::get(uri).body(Full::default()).unwrap();
-        let answer = self.client.request(request).await.unwrap();
-        let body = answer.into_body().collect().await.unwrap().to_bytes();
-        String::from_utf8(body.to_vec()).unwrap()
+        let body = self.client.request(request).await.unwrap().into_body();
+        String::from_utf8(body.collect().await.unwrap().to_bytes().to_vec()).unwrap()
     }
 
     /// The status of a readiness probe.
