--- a/src/policy/backend_pace.rs
+++ b/src/policy/backend_pace.rs
@@ -164,7 +164,7 @@
         self.terms = terms;
         self.check.is_failed = false;
         self.update(now);
-        if std::mem::take(&mut self.is_start_due) {
+        if std::mem::take(&mut self.is_start_due) && self.terms.is_some() {
             self.begin_slow_start(now);
         }
     }
@@ -187,9 +187,10 @@
         self.update(now);
     }
 
-    /// Begins a slow start: the server starts or returns.
+    /// Begins a slow start: the server starts or returns. Without a limit of cold servers it waits for the
+    /// next configuration, since the server may start before the first one is known.
     pub fn begin_slow_start(&mut self, now: MilliTime) {
-        if self.terms == Some(ColdTerms::UNCONFIGURED) {
+        if self.terms.is_none() || !self.is_configured() {
             self.is_start_due = true;
             return;
         }
--- a/src/sidecar/process/backend_pacing.rs
+++ b/src/sidecar/process/backend_pacing.rs
@@ -12,10 +12,14 @@
 
 use super::backend_admission::{AdmissionState, BackendAdmission};
 use super::decision_log::LineCategory;
+use super::settings::WarmUpTerms;
 use super::sidecar_shared::SidecarShared;
 use super::wire_dialect::HeaderNames;
+use crate::clock::MilliTime;
+use crate::policy::admission_queue::AdmissionQueue;
 use crate::policy::backend_notice::RequestLimit;
 use crate::policy::backend_pace::{ColdTerms, HeldCounts, PaceCause};
+use crate::policy::incarnation::BackendIncarnation;
 use crate::sidecar::connection::backend_pool::BackendTarget;
 use crate::sidecar::connection::single_call::{CallLimits, call};
 use crate::sidecar::version::fleet_config::FleetConfig;
@@ -46,6 +50,25 @@
         self.change_pace(|state| state.queue.pace_mut().set_terms(now, terms));
     }
 
+    /// Records the first report of an announcement that opens admission.
+    pub(super) fn report_start(
+        &self,
+        state: &mut AdmissionState,
+        incarnation: &BackendIncarnation,
+        cold_for: Duration,
+    ) {
+        let now = self.clock.now();
+        let pace = state.queue.pace_mut();
+        if state.announced.as_ref() != Some(incarnation) {
+            state.announced = Some(incarnation.clone());
+            pace.start_incarnation(now);
+            if incarnation.born >= self.started.0 {
+                pace.exclude_former();
+            }
+        }
+        pace.report(now, cold_for);
+    }
+
     /// Records that the backend server stays cold for `cold_for`.
     pub(crate) fn report_cold(&self, cold_for: Duration) {
         let now = self.clock.now();
@@ -120,6 +143,16 @@
     }
 }
 
+/// The queue of a process that starts.
+pub(super) fn starting_queue(now: MilliTime, warm_up_terms: WarmUpTerms) -> AdmissionQueue {
+    let mut queue = AdmissionQueue::new(now);
+    // Deployments without cold servers state no terms for them.
+    let limits_cold = warm_up_terms != WarmUpTerms::default();
+    queue.pace_mut().set_terms(now, limits_cold.then_some(ColdTerms::UNCONFIGURED));
+    queue.pace_mut().assume_former(now);
+    queue
+}
+
 /// The pace as it was last logged.
 #[derive(Debug, Default)]
 pub(crate) struct LoggedPace {
