--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -42,6 +42,8 @@
     load: InstanceLoad,
     in_flight: u32,
     in_flight_at_report: u32,
+    /// When the load was reported.
+    reported: MilliTime,
     failed: FailureFraction,
     /// Since when there is no link.
     unlinked_since: MilliTime,
@@ -54,6 +56,7 @@
             load: InstanceLoad::default(),
             in_flight: 0,
             in_flight_at_report: 0,
+            reported: now,
             failed: FailureFraction::new(now),
             unlinked_since: now,
         }
@@ -82,6 +85,7 @@
 
     /// Records a load reported over `link`; `true` if this is the first on a new link.
     pub(crate) fn record_load(&self, link: &Arc<PeerLink>, load: InstanceLoad) -> bool {
+        let now = self.clock.now();
         let mut state = self.lock();
         let is_new = state.link.is_none();
         if is_new {
@@ -89,6 +93,7 @@
         }
         state.load = load;
         state.in_flight_at_report = state.in_flight;
+        state.reported = now;
         is_new
     }
 
@@ -131,6 +136,7 @@
             in_flight_at_report: state.in_flight_at_report,
             same_zone: self.same_zone,
             failed_permille: state.failed.permille(now),
+            report_age: now.since(state.reported),
         })
     }
 
--- a/src/sidecar/request/dispatch.rs
+++ b/src/sidecar/request/dispatch.rs
@@ -416,5 +416,6 @@
         in_flight_at_report: 0,
         same_zone: true,
         failed_permille: 0,
+        report_age: Duration::ZERO,
     }
 }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -10,6 +10,7 @@
 mod link_subset;
 mod model;
 mod placement;
+mod placement_replay;
 mod read_backoff;
 mod read_schedule;
 mod restore_hold;
--- a/tests/suite/policy/limits.rs
+++ b/tests/suite/policy/limits.rs
@@ -256,6 +256,7 @@
         in_flight_at_report: view.in_flight_at_report,
         same_zone: true,
         failed_permille: 0,
+        report_age: Duration::ZERO,
     }
 }
 
--- a/tests/suite/policy/placement.rs
+++ b/tests/suite/policy/placement.rs
@@ -20,7 +20,14 @@
         service_micros: service_ms * 1_000,
         ..InstanceLoad::default()
     };
-    PlacementCandidate { load, in_flight: 0, in_flight_at_report: 0, same_zone, failed_permille: 0 }
+    PlacementCandidate {
+        load,
+        in_flight: 0,
+        in_flight_at_report: 0,
+        same_zone,
+        failed_permille: 0,
+        report_age: Duration::ZERO,
+    }
 }
 
 fn choose(candidates: &[PlacementCandidate]) -> Option<usize> {
--- a/tests/suite/policy/shed.rs
+++ b/tests/suite/policy/shed.rs
@@ -318,6 +318,7 @@
             in_flight_at_report: 0,
             same_zone: true,
             failed_permille: 0,
+            report_age: Duration::ZERO,
         };
         let candidates: Vec<PlacementCandidate> = self.loads.iter().map(candidate).collect();
         choose_retry_instance(&candidates, self.random.random()).unwrap_or(0)
