Share short capacity among organisations within a priority

Cause: while a service is short of slots, root admission admits one fraction of each group of roots, whoever sends them. A few organisations that send several times their usual load push the others aside.

Change: policy/fair_share.rs divides what is admitted of a priority max-min fair among the organisations, weighted by their rates; those without a rate have the mean weight. The state is a space-saving sketch of 96 organisations for each priority in which roots are limited. No organisation is admitted less than 0.35 of the fraction of all. Where no service is short, nothing is counted or changed. Each entry divides what arrives there, so an organisation whose requests reach few entries gets more than its share over all entries. New: events root_refused_short and root_refused_above_share, and the organisation in the reason of a refusal.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub mod config_state;
 pub mod crash_ledger;
 pub mod exchange_history;
+pub mod fair_share;
 pub mod freshness;
 pub mod head_scan;
 pub mod incarnation;
--- a/src/policy/root_admission.rs
+++ b/src/policy/root_admission.rs
@@ -5,7 +5,8 @@
 //! done. Answers report the cost of a root at every service and the demand for each service. From
 //! the demand, each daemon computes the fraction of it that each service admits, and divides it
 //! among the groups by priority and, within a priority, by cost. Caller retries are admitted before
-//! first attempts.
+//! first attempts. What is admitted of a priority is shared among the organisations by
+//! [`super::fair_share`].
 //!
 //! Also handles a deep service that refuses a fraction of its requests for some seconds although it
 //! has room. Its calls succeed after some retries, and the retry budget is what limits the runs: the
@@ -15,9 +16,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::fair_share::{FairClaimant, FairShare};
 use super::moving_average::{RateAverage, SampleAverage};
 use super::placement::InstanceLoad;
-use super::root_costs::RouteCosts;
+use super::root_costs::{COST_ASSUMED, RouteCosts};
 pub use super::root_costs::{CostList, RootKnowledge, RootLimit, SlotCost, add_cost};
 use crate::clock::MilliTime;
 
@@ -78,8 +80,10 @@
         service: Arc<str>,
         /// What that service is short of.
         limit: RootLimit,
-        /// The fraction of the group that is admitted.
+        /// The fraction of the group that is admitted, of its organisation if there is one.
         fraction: f64,
+        /// Whether it would be admitted but for the share of its organisation.
+        is_above_share: bool,
     },
 }
 
@@ -163,6 +167,8 @@
     services: HashMap<Arc<str>, ServiceState>,
     groups: HashMap<RootGroup, GroupDemand>,
     costs: HashMap<Arc<str>, RouteCosts>,
+    /// Shares of the organisations by priority, while a service is short.
+    shares: HashMap<u8, FairShare>,
     retries_per_request: f64,
     adjusted: MilliTime,
 }
@@ -175,6 +181,7 @@
             services: HashMap::new(),
             groups: HashMap::new(),
             costs: HashMap::new(),
+            shares: HashMap::new(),
             retries_per_request,
             adjusted: now,
         }
@@ -273,6 +280,19 @@
         group: &RootGroup,
         is_retry: bool,
         draw: f64,
+    ) -> RootDecision {
+        self.admit_for(now, group, None, is_retry, draw)
+    }
+
+    /// Like [`RootAdmission::admit`], for an organisation: what a service short of slots admits of a
+    /// priority is shared fairly among them.
+    pub fn admit_for(
+        &mut self,
+        now: MilliTime,
+        group: &RootGroup,
+        claimant: Option<FairClaimant<'_>>,
+        is_retry: bool,
+        draw: f64,
     ) -> RootDecision {
         if now.since(self.adjusted) >= ADJUST_SPAN {
             self.adjust(now);
@@ -283,12 +303,23 @@
         };
         let flow = if is_retry { &mut demand.retries } else { &mut demand.first_attempts };
         flow.arrivals.add(now, 1.0);
+        let fraction = match (&flow.limiting, claimant) {
+            (Some((service, RootLimit::Slots)), Some(claimant)) => {
+                let known = self.costs.get(&group.route);
+                let work =
+                    known.map_or(COST_ASSUMED, |costs| costs.need(service, RootLimit::Slots));
+                let share =
+                    self.shares.entry(group.priority).or_insert_with(|| FairShare::new(now));
+                share.admit(now, claimant, work, flow.fraction)
+            }
+            _ => flow.fraction,
+        };
         match &flow.limiting {
-            Some((service, limit)) if draw >= flow.fraction => RootDecision::Refuse {
-                service: service.clone(),
-                limit: *limit,
-                fraction: flow.fraction,
-            },
+            Some((service, limit)) if draw >= fraction => {
+                let is_above_share = draw < flow.fraction;
+                let (service, limit) = (service.clone(), *limit);
+                RootDecision::Refuse { service, limit, fraction, is_above_share }
+            }
             _ => {
                 let is_entitled = flow.entitled.is_some_and(|fraction| draw < fraction);
                 RootDecision::Admit { is_entitled }
@@ -313,6 +344,7 @@
             state.adjust(now, self.retries_per_request);
         }
         let is_active = |flow: &mut ArrivalFlow| flow.arrivals.per_second(now) >= 0.01;
+        self.shares.retain(|_, share| !share.is_idle(now));
         self.groups.retain(|_, demand| demand.flows().into_iter().any(is_active));
         for flow in self.groups.values_mut().flat_map(GroupDemand::flows) {
             flow.fraction = 1.0;
--- a/src/policy/root_costs.rs
+++ b/src/policy/root_costs.rs
@@ -19,7 +19,7 @@
 const CALLS_MIN: f64 = 0.05;
 
 /// Cost assumed for a group without answers so far, in slot-milliseconds.
-const COST_ASSUMED: f64 = 100.0;
+pub(super) const COST_ASSUMED: f64 = 100.0;
 /// Calls assumed for a group without answers so far.
 const CALLS_ASSUMED: f64 = 2.0;
 
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -10,24 +10,17 @@
 use hyper::{Request, Response, Uri};
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause, UnknownCause};
 use super::dispatch::{DispatchOutcome, RequestDispatch};
-use super::paced_root::PacedRoot;
 use super::response::{RequestRefusal, answer_response, refusal_response};
+use super::root_entry::{admit_paced, admit_root, caller_retry_delay, check_quota};
 use super::trace::RequestTrace;
 use crate::clock::MilliTime;
 use crate::error::ResultCode;
-use crate::policy::caller_retry::{retry_delay, token_retry_delay};
 use crate::policy::crash_ledger::RequestStanding;
 use crate::policy::request_identity::{RequestContents, RequestIdentity};
 use crate::policy::request_rank::RequestRank;
-use crate::policy::retry_allowance::hash_fraction;
-use crate::policy::root_admission::{RootDecision, RootGroup, RootLimit};
-use crate::policy::route_success::RECOVERY_TIME;
-use crate::policy::start_pace::PACE_RETRY_AFTER;
-use crate::policy::token_priority::TokenUrgency;
 use crate::request::header::{end_to_end, parse_number};
 use crate::sidecar::connection::backend_pool::header_pairs;
 use crate::sidecar::process::backend_admission::RunRecord;
@@ -72,14 +65,14 @@
 }
 
 /// A request with its route and caller resolved.
-struct IdentifiedRequest {
-    route: Arc<FleetRoute>,
-    organisation: Option<Arc<FleetOrganisation>>,
-    parent: Option<Arc<RunRecord>>,
-    deadline: MilliTime,
-    rank: RequestRank,
+pub(super) struct IdentifiedRequest {
+    pub(super) route: Arc<FleetRoute>,
+    pub(super) organisation: Option<Arc<FleetOrganisation>>,
+    pub(super) parent: Option<Arc<RunRecord>>,
+    pub(super) deadline: MilliTime,
+    pub(super) rank: RequestRank,
     /// Whether the caller retries after a refusal.
-    is_retry: bool,
+    pub(super) is_retry: bool,
 }
 
 async fn handle(
@@ -291,105 +284,6 @@
     Err(refusal.retry_after(caller_retry_delay(shared, identified, Some(restart_in))))
 }
 
-async fn check_quota(
-    shared: &SidecarShared,
-    organisation: &FleetOrganisation,
-    identified: &IdentifiedRequest,
-) -> Result<(), RequestRefusal> {
-    let urgency = TokenUrgency::of(identified.rank, identified.is_retry);
-    let Err(refused) = shared.quota.admit(shared, organisation, urgency).await else {
-        return Ok(());
-    };
-    shared.metrics.count(match refused.is_cut_off {
-        true => "rate_refused_for_urgent",
-        false => "rate_refused_no_token",
-    });
-    let reason = shared.quota.describe(organisation);
-    let refusal = RequestRefusal::new(ResultCode::RateExceeded, reason);
-    let Some(tokens_in) = refused.tokens_in else {
-        return Err(refusal.retry_after(caller_retry_delay(shared, identified, None)));
-    };
-    let remaining = identified.deadline.until(shared.clock.now());
-    let delay = token_retry_delay(remaining, tokens_in, rand::random::<f64>());
-    Err(refusal.retry_after(delay))
-}
-
-/// Admits a root if recent runs of its route succeeded and the services it calls have capacity;
-/// returns whether it is entitled to retries that are short.
-fn admit_root(
-    shared: &SidecarShared,
-    identified: &IdentifiedRequest,
-    request: &str,
-) -> Result<bool, RequestRefusal> {
-    let now = shared.clock.now();
-    let success_fraction = match identified.is_retry {
-        true => None,
-        false => {
-            let mut success = shared.route_success.lock().expect("lock not poisoned");
-            success.refuse(now, &identified.route.name, rand::random::<f64>())
-        }
-    };
-    if let Some(fraction) = success_fraction {
-        let reason = format!("{:.0}% of recent runs of the route succeeded", fraction * 100.0);
-        return Err(refuse_root(shared, identified, reason, Some(RECOVERY_TIME)));
-    }
-    // Roots with a low hash are also preferred where their calls need retries.
-    let draw = hash_fraction(xxh3_64(request.as_bytes()));
-    let group = root_group(identified);
-    let mut admission = shared.root_admission.lock().expect("lock not poisoned");
-    let decision = admission.admit(now, &group, identified.is_retry, draw);
-    drop(admission);
-    let (service, limit, fraction) = match decision {
-        RootDecision::Admit { is_entitled } => return Ok(is_entitled),
-        RootDecision::Refuse { service, limit, fraction } => (service, limit, fraction),
-    };
-    let kind = if identified.is_retry { "returns" } else { "first tries" };
-    let (problem, capacity_in) = match limit {
-        RootLimit::Slots => ("is full", None),
-        RootLimit::Retries => ("refuses requests", Some(RECOVERY_TIME)),
-    };
-    let reason =
-        format!("{service} {problem}: {:.0}% of the {kind} are admitted", fraction * 100.0);
-    Err(refuse_root(shared, identified, reason, capacity_in))
-}
-
-/// Admits a root to those in flight while this daemon has just started.
-fn admit_paced(
-    shared: &Arc<SidecarShared>,
-    identified: &IdentifiedRequest,
-) -> Result<PacedRoot, RequestRefusal> {
-    PacedRoot::admit(shared, &identified.route.name).ok_or_else(|| {
-        let reason = "this daemon has just started and as many roots are in flight as it allows";
-        refuse_root(shared, identified, reason.to_owned(), Some(PACE_RETRY_AFTER))
-    })
-}
-
-fn refuse_root(
-    shared: &SidecarShared,
-    identified: &IdentifiedRequest,
-    reason: String,
-    capacity_in: Option<Duration>,
-) -> RequestRefusal {
-    if let Some(organisation) = &identified.organisation {
-        shared.quota.refund(organisation);
-    }
-    let refusal = RequestRefusal::new(ResultCode::Overloaded, reason);
-    refusal.retry_after(caller_retry_delay(shared, identified, capacity_in))
-}
-
-fn root_group(identified: &IdentifiedRequest) -> RootGroup {
-    RootGroup { route: identified.route.name.clone(), priority: identified.rank.priority }
-}
-
-fn caller_retry_delay(
-    shared: &SidecarShared,
-    identified: &IdentifiedRequest,
-    capacity_in: Option<Duration>,
-) -> Duration {
-    let remaining = identified.deadline.until(shared.clock.now());
-    retry_delay(remaining, capacity_in, rand::random::<f64>())
-}
-
 fn choose_service(shared: &SidecarShared, route: &FleetRoute) -> Arc<str> {
     let [only] = &route.destinations[..] else {
         let weights: Vec<u32> =
--- a/src/sidecar/request/mod.rs
+++ b/src/sidecar/request/mod.rs
@@ -5,4 +5,5 @@
 pub(crate) mod handler;
 mod paced_root;
 pub(crate) mod response;
+mod root_entry;
 mod trace;
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -5,6 +5,7 @@
 mod caller_retry;
 mod crash_ledger;
 mod exchanges;
+mod fair_share;
 mod fleet_start;
 mod incarnation;
 mod limits;
