--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -78,6 +78,10 @@
     limit_per_second: Gauge<f64, AtomicU64>,
     /// Organisations whose tokens are scarce, as the pools state.
     pub scarce_organisations: Gauge,
+    /// Entries of the configuration in force that are left out or served with restrictions.
+    pub unreadable_entries: Gauge,
+    /// Zones that are evacuated.
+    pub evacuated_zones: Gauge,
     /// Roots that may be in flight after a start; 0 without a pace.
     pub start_window: Gauge,
 }
@@ -166,6 +170,18 @@
             "Roots that may be in flight after a start, 0 while they are not paced",
             start_window.clone(),
         );
+        let unreadable_entries = Gauge::default();
+        registry.register(
+            "configuration_unreadable_entries",
+            "Entries of the configuration in force that are left out or served with restrictions",
+            unreadable_entries.clone(),
+        );
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            evacuated_zones.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -182,6 +198,8 @@
             is_limited,
             limit_per_second,
             scarce_organisations,
+            unreadable_entries,
+            evacuated_zones,
             start_window,
         }
     }
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,10 +1,13 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
 mod bounded_connections;
+mod cold_servers;
+mod config_reading;
 mod copied_refusals;
 mod crashes;
 mod dropped_positions;
 mod endless;
+mod evacuations;
 mod exchange_orders;
 mod fleet;
 pub(crate) mod floods;
@@ -14,10 +17,13 @@
 mod leaves;
 mod limits;
 mod links;
+mod log_output;
 mod merged_answers;
 mod odd_entries;
+mod older_release;
 mod outcomes;
 mod planned_server;
+mod regions;
 mod replica;
 mod restores;
 mod stops;
