--- a/src/sidecar/request/mod.rs
+++ b/src/sidecar/request/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod handler;
 mod paced_root;
 pub(crate) mod response;
+mod root_entry;
 pub(crate) mod shared_body;
 mod trace;
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -6,6 +6,7 @@
 mod caller_retry;
 mod crash_ledger;
 mod exchanges;
+mod fair_share;
 mod fleet_start;
 mod incarnation;
 mod limits;
