Limits on callers' connections, heads, idle time and reading

Cause: a caller's connection had no limit but 20,000 connections, 64 KiB a head and 120 s. Callers that sent heads or empty lines without end, left connections open or did not read kept descriptors and memory.

Change: `serve_callers` takes 3/8 of `max_fds` connections, each with a lease of the memory budget; others wait in the system's queue. Heads end at `max_header_bytes` and 4 KiB by hyper's own limit (431). `CallerWatch` closes a connection whose head takes longer than `header_timeout_s`, that is idle for `idle_timeout_s`, or whose caller reads less than 64 KiB in 10 s (5 s while no other caller can connect). `connections_limited` and the line `connection-limited` show them.

--- a/src/connection/listener.rs
+++ b/src/connection/listener.rs
@@ -26,7 +26,9 @@
 /// Maximum concurrent connections of one listener; more wait in the system's accept queue.
 pub const CONNECTIONS_LIMIT: usize = 20_000;
 
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+pub(crate) const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// The least that the library allows.
+const READ_BUFFER_BYTES_MIN: usize = 8 * 1024;
 const STREAMS_LIMIT: u32 = 1024;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -53,13 +55,15 @@
 }
 
 /// Timeouts of a connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ConnectionTimeouts {
     /// Maximum time for a client to send a request's head.
     pub head_timeout: Duration,
     /// Time after the stop signal during which requests are still answered, so that a request in
     /// transit does not meet a closed connection.
     pub drain_time: Duration,
+    /// Maximum size of a request's head; `None` for the size of the read buffer.
+    pub head_bytes: Option<usize>,
 }
 
 /// Serves plaintext HTTP connections with `handler` until `stop` is raised and all have ended.
@@ -122,7 +126,7 @@
             Ok::<_, Infallible>(if closes { add_close(answer) } else { answer })
         }
     });
-    let builder = Arc::new(http_builder(times.head_timeout));
+    let builder = Arc::new(http_builder(times));
     let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
@@ -148,17 +152,18 @@
     answer
 }
 
-fn http_builder(head_timeout: Duration) -> Builder<TokioExecutor> {
+fn http_builder(times: ConnectionTimeouts) -> Builder<TokioExecutor> {
+    let head_bytes = times.head_bytes.unwrap_or(READ_BUFFER_BYTES);
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .max_buf_size(READ_BUFFER_BYTES);
+        .header_read_timeout(times.head_timeout)
+        .max_buf_size(head_bytes.clamp(READ_BUFFER_BYTES_MIN, READ_BUFFER_BYTES));
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(READ_BUFFER_BYTES as u32)
+        .max_header_list_size(head_bytes as u32)
         .max_concurrent_streams(STREAMS_LIMIT);
     builder
 }
--- a/src/connection/peer_listener.rs
+++ b/src/connection/peer_listener.rs
@@ -1,7 +1,6 @@
 //! Serves calls over HTTP/2 and control links over WebSocket for other daemons.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -45,7 +44,7 @@
         return;
     };
     let head_timeout = shared.config.limits.head_timeout;
-    let times = ConnectionTimeouts { head_timeout, drain_time: Duration::ZERO };
+    let times = ConnectionTimeouts { head_timeout, ..ConnectionTimeouts::default() };
     let handler = move |request| serve_request(shared.clone(), request);
     serve_connection(stream, close, times, handler).await;
 }
--- /dev/null
+++ b/src/sidecar/connection/caller_listener.rs
@@ -0,0 +1,115 @@
+//! Accepts callers' connections within the limits of the machine.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use futures_util::FutureExt;
+use hyper::Version;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use super::caller_watch::{CallerTimes, CallerWatch, WatchedStream};
+use crate::connection::listener::{
+    CONNECTIONS_LIMIT, ConnectionTimeouts, READ_BUFFER_BYTES, accept, serve_connection,
+};
+use crate::process::stop::StopSignal;
+use crate::sidecar::process::decision_log::LineCategory;
+use crate::sidecar::process::memory_budget::{MemoryHolder, MemoryLease};
+use crate::sidecar::process::sidecar_shared::SidecarShared;
+use crate::sidecar::request::handler::serve_request;
+
+/// Part of the process's descriptors for callers' connections. The rest is for connections to the
+/// backend server, of which each caller may occupy one, to other daemons and to the store.
+const DESCRIPTORS_SHARE: (usize, usize) = (3, 8);
+/// Memory of a connection without its read buffer.
+const CONNECTION_BYTES: usize = 8 * 1024;
+/// What may be read beyond the configured size of a head: the request line and separators.
+const HEAD_MARGIN_BYTES: usize = 4 * 1024;
+
+#[derive(serde::Serialize)]
+struct ConnectionLine {
+    reason: &'static str,
+    connections: usize,
+}
+
+/// Serves callers until `stop` is raised and all connections have ended.
+pub(crate) async fn serve_callers(
+    shared: Arc<SidecarShared>,
+    listener: TcpListener,
+    stop: StopSignal,
+) {
+    let (part, whole) = DESCRIPTORS_SHARE;
+    let limit = (shared.settings.descriptors_max * part / whole).clamp(1, CONNECTIONS_LIMIT);
+    let is_full = Arc::new(AtomicBool::new(false));
+    let mut connections = JoinSet::new();
+    loop {
+        is_full.store(connections.len() >= limit, Ordering::Relaxed);
+        if connections.len() >= limit {
+            count_connection(&shared, "too-many", connections.len());
+        }
+        tokio::select! {
+            (stream, lease) = accept_leased(&shared, &listener), if connections.len() < limit => {
+                let caller = (stream, lease, is_full.clone());
+                connections.spawn(serve_caller(shared.clone(), caller, stop.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+            () = stop.raised() => break,
+        }
+    }
+    // Otherwise connections left in the system's accept queue would be reset.
+    while let Some((stream, lease)) = accept_leased(&shared, &listener).now_or_never() {
+        let caller = (stream, lease, is_full.clone());
+        connections.spawn(serve_caller(shared.clone(), caller, stop.clone()));
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Accepts a connection for which there is memory; others wait in the system's queue.
+async fn accept_leased(shared: &SidecarShared, listener: &TcpListener) -> (TcpStream, MemoryLease) {
+    let limits = shared.config().map(|config| config.limits).unwrap_or_default();
+    let bytes = CONNECTION_BYTES + READ_BUFFER_BYTES.min(limits.header_bytes + HEAD_MARGIN_BYTES);
+    let lease = shared.memory.wait_lease(MemoryHolder::Connections, bytes).await;
+    (accept(listener).await, lease)
+}
+
+async fn serve_caller(
+    shared: Arc<SidecarShared>,
+    (stream, _lease, is_full): (TcpStream, MemoryLease, Arc<AtomicBool>),
+    stop: StopSignal,
+) {
+    let limits = shared.config().map(|config| config.limits).unwrap_or_default();
+    let times =
+        CallerTimes { head_timeout: limits.head_timeout, idle_timeout: limits.idle_timeout };
+    let timeouts = ConnectionTimeouts {
+        // The watch tells a slow head from an idle connection, which the library does not.
+        head_timeout: limits.head_timeout + limits.idle_timeout,
+        head_bytes: Some(limits.header_bytes + HEAD_MARGIN_BYTES),
+        ..ConnectionTimeouts::default()
+    };
+    let watch = CallerWatch::new();
+    let (state, requests) = (shared.clone(), watch.clone());
+    let handler = move |request: hyper::Request<_>| {
+        requests.begin_request(request.version() == Version::HTTP_2);
+        let (state, requests) = (state.clone(), requests.clone());
+        async move {
+            let answer = serve_request(state, request).await;
+            requests.end_request();
+            answer
+        }
+    };
+    let stream = WatchedStream::new(stream, watch.clone());
+    tokio::select! {
+        () = serve_connection(stream, stop, timeouts, handler) => {}
+        reason = watch.closing(times, &is_full) => count_connection(&shared, reason.name(), 1),
+    }
+}
+
+/// Counts connections that are closed or wait, with a line of the log within its bound per second.
+fn count_connection(shared: &SidecarShared, reason: &'static str, connections: usize) {
+    shared.metrics.connection_limited(reason);
+    if reason != "idle" {
+        let line = ConnectionLine { reason, connections };
+        shared.log.write(LineCategory::Change, "connection-limited", &line);
+    }
+}
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -2,6 +2,8 @@
 
 mod backend_connection;
 pub(crate) mod backend_pool;
+pub(crate) mod caller_listener;
+mod caller_watch;
 pub(crate) mod frame;
 pub(crate) mod metered_stream;
 pub(crate) mod peer_link;
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -27,11 +27,10 @@
 use crate::connection::listener::{ConnectionTimeouts, bind, serve_http};
 use crate::error::DaemonError;
 use crate::process::stop::StopSignal;
+use crate::sidecar::connection::caller_listener::serve_callers;
 use crate::sidecar::connection::peer_server::serve_peers;
-use crate::sidecar::request::handler::serve_request;
 
-/// Idle timeout of callers' connections: longer than the callers' own, so that none is closed while
-/// a request is in flight.
+/// Idle timeout of the other listeners' connections.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 const RUNS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the last answers to reach the daemons that called.
@@ -187,14 +186,12 @@
     listener: TcpListener,
     stop: &StopSignal,
 ) -> JoinHandle<()> {
-    let state = shared.clone();
-    let handler = move |request| serve_request(state.clone(), request);
-    tokio::spawn(serve_http(listener, stop.clone(), connection_timeouts(), handler))
+    tokio::spawn(serve_callers(shared.clone(), listener, stop.clone()))
 }
 
 /// Timeouts of a listener that stops after everything else and so needs no drain time.
 fn connection_timeouts() -> ConnectionTimeouts {
-    ConnectionTimeouts { head_timeout: IDLE_TIMEOUT, drain_time: Duration::ZERO }
+    ConnectionTimeouts { head_timeout: IDLE_TIMEOUT, ..ConnectionTimeouts::default() }
 }
 
 fn start_announcements(
--- a/src/sidecar/version/fleet_config.rs
+++ b/src/sidecar/version/fleet_config.rs
@@ -95,11 +95,20 @@
     pub body_bytes: usize,
     /// Maximum header size in bytes.
     pub header_bytes: usize,
+    /// Maximum time from the first byte of a head to its end.
+    pub head_timeout: Duration,
+    /// Time after which a connection without a request is closed.
+    pub idle_timeout: Duration,
 }
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        RequestLimits { body_bytes: 16 << 20, header_bytes: 64 << 10 }
+        RequestLimits {
+            body_bytes: 16 << 20,
+            header_bytes: 64 << 10,
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(120),
+        }
     }
 }
 
