Count cancelled requests of HTTP/2 callers as ended; test of the largest body

Cause: a request whose handling was dropped, as a reset HTTP/2 stream is, stayed active, so that its connection was never idle.

Change: the request is active until a guard is dropped. A new test sends one body of 64 MiB to a local and a remote backend server on machines of 260 MB.

--- a/src/sidecar/connection/caller_listener.rs
+++ b/src/sidecar/connection/caller_listener.rs
@@ -90,12 +90,11 @@
     let watch = CallerWatch::new();
     let (state, requests) = (shared.clone(), watch.clone());
     let handler = move |request: hyper::Request<_>| {
-        requests.begin_request(request.version() == Version::HTTP_2);
-        let (state, requests) = (state.clone(), requests.clone());
+        let active = requests.begin_request(request.version() == Version::HTTP_2);
+        let state = state.clone();
         async move {
-            let answer = serve_request(state, request).await;
-            requests.end_request();
-            answer
+            let _active = active;
+            serve_request(state, request).await
         }
     };
     let stream = WatchedStream::new(stream, watch.clone());
--- a/src/sidecar/connection/caller_watch.rs
+++ b/src/sidecar/connection/caller_watch.rs
@@ -84,19 +84,13 @@
         self.0.lock().expect("lock not poisoned")
     }
 
-    /// The head of a request is complete.
-    pub(crate) fn begin_request(&self, is_http2: bool) {
+    /// The head of a request is complete; its handling lasts until the result is dropped.
+    pub(crate) fn begin_request(&self, is_http2: bool) -> ActiveRequest {
         let mut state = self.lock();
         state.active += 1;
         state.is_http2 = is_http2;
         state.head_since = None;
-    }
-
-    /// The answer to a request is about to be written.
-    pub(crate) fn end_request(&self) {
-        let mut state = self.lock();
-        state.active -= 1;
-        state.is_writing = true;
+        ActiveRequest(self.clone())
     }
 
     /// Waits until the connection must be closed; `is_full` tells whether no other can be opened.
@@ -134,6 +128,18 @@
     }
 }
 
+/// A request that is handled. Its answer is about to be written when it is dropped, or it was
+/// cancelled by the caller.
+pub(crate) struct ActiveRequest(CallerWatch);
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        let mut state = self.0.lock();
+        state.active -= 1;
+        state.is_writing = true;
+    }
+}
+
 /// A caller's connection whose progress is watched.
 #[derive(Debug)]
 pub(crate) struct WatchedStream<S> {
--- a/tests/suite/sidecar/untrusted.rs
+++ b/tests/suite/sidecar/untrusted.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -31,6 +31,9 @@
 /// Limits of the machine of each daemon, stated in its settings.
 const MEMORY_MB: u64 = 96;
 const DESCRIPTORS_MAX: usize = 256;
+/// The largest body of the platform's configuration, and the smallest memory of a machine that has it.
+const LARGEST_BODY_BYTES: usize = 64 << 20;
+const CALM_MEMORY_MB: u64 = 260;
 /// Callers of a crowd, more than the daemon has descriptors.
 const CROWD: usize = 400;
 /// Callers that want long answers, and the size of each.
@@ -116,11 +119,17 @@
             let (stream, _) = listener.accept().await.unwrap();
             let longest = longest.clone();
             let service = service_fn(move |request: Request<Incoming>| {
-                let length = request.uri().path().rsplit('/').next().unwrap().parse();
-                let body = longest.slice(..length.unwrap_or(1).min(longest.len()));
-                let id = request.headers()[REQUEST_ID].clone();
-                let answer = Response::builder().header(REQUEST_ID, id).header(SIGNATURE, "signed");
-                std::future::ready(answer.body(Full::new(body)))
+                let longest = longest.clone();
+                async move {
+                    let length = request.uri().path().rsplit('/').next().unwrap().parse();
+                    let body = longest.slice(..length.unwrap_or(1).min(longest.len()));
+                    let id = request.headers()[REQUEST_ID].clone();
+                    // Reads the request's body without keeping it.
+                    let mut received = request.into_body();
+                    while let Some(Ok(_)) = received.frame().await {}
+                    let answer = Response::builder().header(REQUEST_ID, id);
+                    answer.header(SIGNATURE, "signed").body(Full::new(body))
+                }
             });
             let builder = hyper::server::conn::http1::Builder::new();
             tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
@@ -129,7 +138,7 @@
     address
 }
 
-fn write_config(store: &StoreServer) {
+fn write_config(store: &StoreServer, body_bytes: usize, timeout_s: u64) {
     let route = |name: &str| RoutePlan {
         name: name.to_owned(),
         service: name.to_owned(),
@@ -140,8 +149,11 @@
     let mut record = config_record(1, &[route("near"), route("far")], &[tenant]);
     record["resources"].as_array_mut().unwrap().push(json!({
         "entry_kind": "limits", "metadata": {"name": "limits"}, "spec": {
-            "max_header_bytes": 4096, "max_body_bytes": 4 << 20, "header_timeout_s": 1,
+            "max_header_bytes": 4096, "max_body_bytes": body_bytes, "header_timeout_s": 1,
             "idle_timeout_s": 2}}));
+    for route in &mut record["resources"].as_array_mut().unwrap()[..2] {
+        route["spec"]["timeout_s"] = json!(timeout_s);
+    }
     store.write_config(&record);
 }
 
@@ -186,7 +198,7 @@
 /// outlive it within their limits.
 async fn face_crowd(crowd: Vec<CrowdCaller>, gap: Duration) {
     let store = StoreServer::start((own_loopback(), 0).into()).await.unwrap();
-    write_config(&store);
+    write_config(&store, 4 << 20, 2);
     let limits = format!("memory_mb = {MEMORY_MB}\nmax_fds = {DESCRIPTORS_MAX}\n");
     let server = start_server().await;
     let mut entry = DaemonProcess::start_limited("entry", "near", server, &store, &limits);
@@ -212,6 +224,33 @@
     expect_that!(descriptors, le(DESCRIPTORS_MAX));
 }
 
+/// Guards against budgets that refuse the largest allowed body although nothing else is held.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_body_served_in_calm() {
+    let store = StoreServer::start((own_loopback(), 0).into()).await.unwrap();
+    write_config(&store, LARGEST_BODY_BYTES, 60);
+    let limits = format!("memory_mb = {CALM_MEMORY_MB}\nmax_fds = {DESCRIPTORS_MAX}\n");
+    let server = start_server().await;
+    let entry = DaemonProcess::start_limited("entry", "near", server, &store, &limits);
+    let far = DaemonProcess::start_limited("far", "far", server, &store, &limits);
+    let outbound = entry.plan.outbound;
+    wait_served(outbound, "/near/1").await;
+    wait_served(outbound, "/far/1").await;
+    for path in ["/near/1", "/far/1"] {
+        let length = format!("content-length: {LARGEST_BODY_BYTES}\r\nconnection: close\r\n");
+        let mut stream = TcpStream::connect(outbound).await.unwrap();
+        stream.write_all(head("POST", path, &length).as_bytes()).await.unwrap();
+        stream.write_all(&vec![b'a'; LARGEST_BODY_BYTES]).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        expect_that!(answer, starts_with("HTTP/1.1 200 "), "{path}");
+    }
+    let peaks = [entry.peak_memory_kb(), far.peak_memory_kb()];
+    println!("most memory in kB: {peaks:?}");
+    expect_that!(peaks, each(le(CALM_MEMORY_MB << 10)));
+}
+
 /// (a) Guards against answers that wait for slow callers and are in no budget.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
