Requests refused for another reason are no demand for scarce tokens

Cause: the pool counted urgent requests that a full service refused as demand for tokens, and kept tokens from less urgent requests for them, although each of them returned its token.

Change: a refused request takes its arrival back with its token. token_surge::withdraw_refused_for_capacity guards it; policy::tokens and it pass, 20 of 20.

--- a/src/policy/token_priority.rs
+++ b/src/policy/token_priority.rs
@@ -133,6 +133,15 @@
         self.cutoff(now).is_none_or(|cutoff| cutoff.admits(urgency, draw))
     }
 
+    /// Takes back the arrival of a request that was refused for another reason than its rate, which is
+    /// no demand for tokens.
+    pub fn withdraw(&mut self, urgency: TokenUrgency) {
+        let known = self.arrived.iter_mut().find(|known| known.urgency == urgency);
+        if let Some(known) = known {
+            known.requests = (known.requests - 1.0).max(0.0);
+        }
+    }
+
     /// Records that a request found no token.
     pub fn record_short(&mut self, now: MilliTime) {
         self.short_at = Some(now);
--- a/src/sidecar/process/quota_table.rs
+++ b/src/sidecar/process/quota_table.rs
@@ -240,10 +240,11 @@
     }
 
     /// Returns the token of a request that was refused for another reason.
-    pub(crate) fn refund(&self, organisation: &FleetOrganisation) {
+    pub(crate) fn refund(&self, organisation: &FleetOrganisation, urgency: TokenUrgency) {
         let now = self.clock.now();
         if let Some(quota) = self.lock().quotas.get_mut(&organisation.name) {
             quota.share.refund(now);
+            quota.scarcity.withdraw(urgency);
         }
     }
 
--- a/src/sidecar/request/root_entry.rs
+++ b/src/sidecar/request/root_entry.rs
@@ -113,7 +113,8 @@
     capacity_in: Option<Duration>,
 ) -> RequestRefusal {
     if let Some(organisation) = &identified.organisation {
-        shared.quota.refund(organisation);
+        let urgency = TokenUrgency::of(identified.rank, identified.is_retry);
+        shared.quota.refund(organisation, urgency);
     }
     let refusal = RequestRefusal::new(ResultCode::Overloaded, reason);
     refusal.retry_after(caller_retry_delay(shared, identified, capacity_in))
--- a/tests/suite/policy/token_surge.rs
+++ b/tests/suite/policy/token_surge.rs
@@ -448,3 +448,27 @@
     expect_that!(scarcity.arrive(MilliTime(1_500), urgency, 0.5), eq(true));
     expect_that!(scarcity.report(MilliTime(1_500)), none());
 }
+
+/// Urgent requests that a full service refuses took the tokens of the others: the pool counted them
+/// as demand, and refused less urgent requests for them.
+#[gtest]
+fn withdraw_refused_for_capacity() -> googletest::Result<()> {
+    let now = MilliTime(100);
+    let [urgent, other] =
+        [0, 4].map(|priority| TokenUrgency::of(RequestRank::root(priority), false));
+    let mut scarcity = TokenScarcity::new(now);
+    for _ in 0..20 {
+        scarcity.arrive(now, urgent, 0.5);
+        scarcity.arrive(now, other, 0.5);
+        scarcity.withdraw(urgent);
+    }
+    scarcity.record_short(now);
+    let mut ledger = DemandLedger::default();
+    ledger.observe(now, &scarcity.report(now).or_fail()?);
+    let terms = RateTerms { per_second: 30.0, burst: 6.0 };
+    let cutoff = ledger.cutoff(now, terms, 1.8).or_fail()?;
+    expect_that!(cutoff.urgency, eq(other));
+    // 20 requests in 0.4 s are 50 per second.
+    expect_that!(cutoff.fraction, near(0.6, 0.01));
+    Ok(())
+}
