--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Buf, Bytes, BytesMut};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -17,6 +17,8 @@
 use crate::policy::request_identity::RequestIdentity;
 use crate::policy::root_admission::CostList;
 use crate::policy::store_position::StorePosition;
+use crate::policy::token_priority::{TokenCutoff, UrgencyCounts};
+use crate::policy::zone_evacuation::EvacuationClaim;
 use crate::sidecar::process::body_budget::{BodyBudget, BodyLease};
 use crate::sidecar::process::topic_replica::TopicUpdate;
 use crate::sidecar::request::context::{CallContext, CallOutcome, ForwardRequest};
@@ -58,6 +60,9 @@
         number: Option<u64>,
         configuration: Option<ConfigReport>,
         directory: Option<TopicReport>,
+        /// Absent from messages of releases without evacuations.
+        #[serde(deserialize_with = "deserialize_last")]
+        evacuations: Option<EvacuationClaim>,
     },
     /// Transfers tokens to the receiver.
     Tokens(Vec<TokenAmount>),
@@ -80,6 +85,19 @@
     Crash(CrashReport),
     /// A run of a suspect ended well at the sender's backend server.
     Release(RequestIdentity),
+    /// The sender's demand for tokens that are scarce; answered with their cutoffs.
+    TokenDemand(Vec<TokenDemand>),
+    /// Which requests of organisations may take scarce tokens.
+    TokenCutoffs(Vec<OrganisationCutoff>),
+}
+
+/// Deserializes the last field of a message, which earlier releases do not send.
+fn deserialize_last<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
 }
 
 /// A request to run at the receiver's backend server.
@@ -145,6 +163,20 @@
     pub(crate) tokens: f64,
 }
 
+/// Requests of an organisation since the sender's last report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct TokenDemand {
+    pub(crate) organisation: Arc<str>,
+    pub(crate) counts: UrgencyCounts,
+}
+
+/// The cutoff of an organisation's tokens; `None` if they are not scarce.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OrganisationCutoff {
+    pub(crate) organisation: Arc<str>,
+    pub(crate) cutoff: Option<TokenCutoff>,
+}
+
 /// Why a link between daemons ended.
 #[derive(Debug, Snafu)]
 pub(crate) enum LinkError {
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod backend_admission;
 pub(crate) mod backend_call;
+pub(crate) mod backend_pacing;
 pub(crate) mod backend_watch;
 pub(crate) mod body_budget;
 pub(crate) mod config_copy;
@@ -21,5 +22,6 @@
 pub(crate) mod store_reader;
 mod store_report;
 pub(crate) mod store_view;
+pub(crate) mod token_exchange;
 pub mod topic_replica;
 pub mod wire_dialect;
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -76,8 +76,12 @@
     pub suspects: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
+    /// Organisations whose tokens are scarce, as the pools state.
+    pub scarce_organisations: Gauge,
     /// Entries of the configuration in force that are left out or served with restrictions.
     pub unreadable_entries: Gauge,
+    /// Zones that are evacuated.
+    pub evacuated_zones: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -152,12 +156,24 @@
             "Requests that ran at backend servers that ended, and have not ended well since",
             suspects.clone(),
         );
+        let scarce_organisations = Gauge::default();
+        registry.register(
+            "scarce_organisations",
+            "Organisations with a demand above their rate, as this daemon knows",
+            scarce_organisations.clone(),
+        );
         let unreadable_entries = Gauge::default();
         registry.register(
             "configuration_unreadable_entries",
             "Entries of the configuration in force that are left out or served with restrictions",
             unreadable_entries.clone(),
         );
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            evacuated_zones.clone(),
+        );
         SidecarMetrics {
             registry,
             requests,
@@ -173,7 +189,9 @@
             suspects,
             is_limited,
             limit_per_second,
+            scarce_organisations,
             unreadable_entries,
+            evacuated_zones,
         }
     }
 }
--- a/src/sidecar/version/mod.rs
+++ b/src/sidecar/version/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod config_check;
 pub(crate) mod config_watch;
+pub(crate) mod evacuation_watch;
 pub mod fleet_config;
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -2,6 +2,7 @@
 
 mod admission_queue;
 mod backend_notice;
+mod backend_pace;
 mod caller_retry;
 mod crash_ledger;
 mod exchanges;
@@ -16,6 +17,9 @@
 mod retries;
 mod roots;
 mod shed;
+mod slow_start;
 mod stop_schedule;
+mod token_surge;
 mod tokens;
 mod topic_position;
+mod zone_evacuation;
--- a/tests/suite/sidecar.rs
+++ b/tests/suite/sidecar.rs
@@ -1,11 +1,13 @@
 //! Tests of sidecar daemons with an in-memory store, test backend servers and callers.
 
 mod bounded_connections;
+mod cold_servers;
 mod config_reading;
 mod copied_refusals;
 mod crashes;
 mod dropped_positions;
 mod endless;
+mod evacuations;
 mod exchange_orders;
 mod fleet;
 pub(crate) mod floods;
@@ -23,6 +25,7 @@
 mod outcomes;
 mod planned_server;
 mod record_requests;
+mod regions;
 mod replica;
 mod restores;
 mod stops;
--- a/tests/suite/sidecar/fleet.rs
+++ b/tests/suite/sidecar/fleet.rs
@@ -394,13 +394,16 @@
     mut run: TestRun,
     state: Arc<BackendState>,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
-    let id = request.headers().get("x-lentilway-attempt-id").cloned().unwrap();
+    // Health checks are no attempts of a request.
+    let id = request.headers().get("x-lentilway-attempt-id").cloned();
     let leaks_key = request.headers().contains_key("authorization");
     let organisation = request.headers().get("x-lentilway-tenant-id").cloned();
     request.into_body().collect().await.map_err(std::io::Error::other)?;
     let mut response = Response::new(Full::new(Bytes::from_static(b"whole")));
     let headers = response.headers_mut();
-    headers.insert("x-lentilway-attempt-id", id);
+    if let Some(id) = id {
+        headers.insert("x-lentilway-attempt-id", id);
+    }
     headers.insert("x-lentilway-server-signature", "signed".parse().unwrap());
     headers.insert("x-leaked", leaks_key.to_string().parse().unwrap());
     if let Some(name) = organisation {
@@ -452,8 +455,10 @@
 
 /// A store shared by daemons, and a client.
 pub(super) struct TestFleet {
-    /// Whether each daemon is alone in its availability zone.
-    has_zones: bool,
+    /// The availability zone of the daemon of a name.
+    zone_of: fn(&str) -> &str,
+    /// The region of each availability zone.
+    zone_regions: &'static [(&'static str, &'static str)],
     /// Time for a planned stop of a daemon.
     stop_bound: Duration,
     pub(super) store: Arc<MemoryStore>,
@@ -518,6 +523,20 @@
     config.to_string().into_bytes()
 }
 
+/// A configuration whose service `stock` tolerates `cold_per_second` requests while it is cold, and
+/// answers health checks at `health_path`.
+pub(super) fn config_with_warm_up(
+    version: u64,
+    cold_per_second: f64,
+    health_path: Option<&str>,
+) -> Vec<u8> {
+    let mut config: serde_json::Value = serde_json::from_slice(&config(version, true)).unwrap();
+    let service = json!({"entry_kind": "services", "metadata": {"name": "stock"}, "spec": {
+        "cold_start_s": 3, "cold_per_s": cold_per_second, "health_path": health_path}});
+    config["resources"].as_array_mut().unwrap().push(service);
+    config.to_string().into_bytes()
+}
+
 /// A configuration with safe routes of these names and the usual ones.
 pub(super) fn config_with_routes(version: u64, names: &[&str]) -> Vec<u8> {
     config_of(version, names, &[KEY, WITHDRAWN_KEY])
@@ -540,7 +559,8 @@
         let client = Client::builder(TokioExecutor::new()).build_http();
         let stop_bound = STOP_BOUND;
         TestFleet {
-            has_zones: false,
+            zone_of: |_| "zone",
+            zone_regions: &[],
             stop_bound,
             store,
             client,
@@ -551,7 +571,17 @@
 
     /// A fleet whose daemons are each alone in an availability zone.
     pub(super) fn with_zones() -> Self {
-        TestFleet { has_zones: true, ..Self::new() }
+        TestFleet { zone_of: |name| name, ..Self::new() }
+    }
+
+    /// A fleet whose daemons are in the availability zone that their names begin with, up to a dash;
+    /// `east` and `west` are in two regions.
+    pub(super) fn with_shared_zones() -> Self {
+        TestFleet {
+            zone_of: |name| name.split('-').next().unwrap_or(name),
+            zone_regions: &[("east", "north"), ("west", "south")],
+            ..Self::new()
+        }
     }
 
     /// A fleet whose daemons have this time for a planned stop.
@@ -598,11 +628,17 @@
         backend: TestBackend,
         peer_listen: SocketAddr,
     ) -> TestDaemon {
+        let zone = (self.zone_of)(name);
+        let regions = self.zone_regions.iter().copied();
+        let region = regions
+            .clone()
+            .find(|(other, _)| *other == zone)
+            .map_or("region", |(_, region)| region);
         let settings = SidecarSettings {
             name: name.into(),
-            availability_zone: if self.has_zones { name.into() } else { "zone".into() },
-            region: "region".into(),
-            zone_regions: HashMap::new(),
+            availability_zone: zone.into(),
+            region: region.into(),
+            zone_regions: regions.map(|(zone, region)| (zone.into(), region.into())).collect(),
             service: service.into(),
             backend_address: backend.address,
             request_listen: free_address(),
@@ -612,7 +648,7 @@
             metrics_listen: free_address(),
             store_address: free_address(),
             withdrawal_bound: Duration::from_secs(5),
-            warm_up_terms: WarmUpTerms::default(),
+            warm_up_terms: WarmUpTerms { overage: 1.5, slack: 8.0 },
             evacuation_bound: Duration::from_secs(5),
             memory_bytes: 160 << 20,
             descriptors_max: 4_100,
@@ -650,10 +686,28 @@
         number: u64,
         phase: &str,
     ) -> u16 {
+        self.announce_state(daemon, born, number, phase, Duration::ZERO).await
+    }
+
+    /// Announces that the backend server of a daemon stays cold for `cold_for`.
+    pub(super) async fn announce_cold(&self, daemon: &TestDaemon, number: u64, cold_for: Duration) {
+        let status = self.announce_state(daemon, FIRST_BORN, number, "ready", cold_for).await;
+        assert_eq!(status, 200);
+    }
+
+    async fn announce_state(
+        &self,
+        daemon: &TestDaemon,
+        born: u64,
+        number: u64,
+        phase: &str,
+        cold_for: Duration,
+    ) -> u16 {
+        let cold_remaining = cold_for.as_secs_f64();
         let body = json!({"address": daemon.backend.address.to_string(), "born": born,
             "info": {"service": *daemon.settings.service, "version": "v1", "zone": "zone",
                 "slots": 8},
-            "status": {"phase": phase, "sequence": number, "cold_remaining_s": 0}});
+            "status": {"phase": phase, "sequence": number, "cold_remaining_s": cold_remaining}});
         self.tell(daemon, Method::PUT, body.to_string()).await
     }
 
