--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use super::frame::{
+    FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage, write_frames,
+};
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
@@ -56,6 +59,8 @@
     asked: Option<MilliTime>,
     version: u64,
     directory: Option<StorePosition>,
+    /// The last record sent that this daemon cannot read; it is sent once.
+    unread: Option<Bytes>,
     /// The evacuated zones of the last message.
     evacuated: Arc<ZoneSet>,
 }
@@ -76,7 +81,12 @@
         self.version = shared.store_view.configuration.version().max(version);
         self.directory = shared.store_view.directory.cursor().max(directory);
         self.evacuated = shared.evacuated.load_full();
-        shared.store_reports(number, version, directory)
+        let mut reports = shared.store_reports(number, version, directory);
+        if let PeerMessage::Records { configuration: Some(report), .. } = &mut reports {
+            let unread = report.unread.take_if(|unread| self.unread.as_ref() == Some(unread));
+            self.unread = unread.or_else(|| report.unread.clone());
+        }
+        reports
     }
 
     /// The records that changed since the last message, if the daemon asked for any lately.
@@ -102,6 +112,14 @@
     }
 }
 
+/// Sends cutoffs, if there are any; `false` if the link is closed.
+fn send_cutoffs(
+    sender: &mpsc::UnboundedSender<PeerMessage>,
+    cutoffs: Vec<OrganisationCutoff>,
+) -> bool {
+    cutoffs.is_empty() || sender.send(PeerMessage::TokenCutoffs(cutoffs)).is_ok()
+}
+
 async fn read_calls(
     shared: &Arc<SidecarShared>,
     reader: &mut FrameReader,
@@ -142,12 +160,28 @@
                     PeerMessage::Cancel(number) => {
                         calls.running.remove(&number).iter().for_each(AbortHandle::abort);
                     }
-                    PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
+                    PeerMessage::Tokens(amounts) => {
+                        shared.quota.receive(&amounts);
+                        let cutoffs = shared.quota.cutoffs(&amounts);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
+                    }
                     PeerMessage::RequestTokens(requests) => {
                         let lent = shared.quota.lend(&requests);
                         if !lent.is_empty() && sender.send(PeerMessage::Tokens(lent)).is_err() {
                             return LinkError::Closed;
                         }
+                        let cutoffs = shared.quota.cutoffs(&requests);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
+                    }
+                    PeerMessage::TokenDemand(demands) => {
+                        let cutoffs = shared.quota.observe_demand(&demands);
+                        if !send_cutoffs(&sender, cutoffs) {
+                            return LinkError::Closed;
+                        }
                     }
                     PeerMessage::AskRecords { number, version, directory } => {
                         follower.ask(shared.clock.now());
@@ -171,7 +205,8 @@
                     | PeerMessage::Alive
                     | PeerMessage::Load(_)
                     | PeerMessage::Answer(_)
-                    | PeerMessage::HoldLeaves { .. } => {}
+                    | PeerMessage::HoldLeaves { .. }
+                    | PeerMessage::TokenCutoffs(_) => {}
                 }
             }
             Some(number) = ended.recv() => {
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -12,15 +12,16 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use super::backend_pacing::check_backend;
 use super::backend_watch::{record_leaves, serve_announcement, watch_backend};
 use super::crash_watch::record_crashes;
 use super::decision_log::{DecisionLog, LineCategory};
 use super::directory::{maintain_links, record_known_versions, register_daemon, remove_own_entry};
 use super::keyed_store::{KeyedStore, StoreTopic};
-use super::quota_table::exchange_tokens;
 use super::settings::SidecarSettings;
 use super::sidecar_shared::SidecarShared;
 use super::store_reader::follow_topic;
+use super::token_exchange::exchange_tokens;
 use super::wire_dialect::WireDialect;
 use crate::clock::{MilliClock, MilliTime};
 use crate::connection::listener::{ConnectionTimeouts, bind, serve_http};
@@ -91,6 +92,7 @@
             tokio::spawn(maintain_links(shared.clone())),
             tokio::spawn(watch_backend(shared.clone())),
             tokio::spawn(pace_backend(shared.clone())),
+            tokio::spawn(check_backend(shared.clone())),
             tokio::spawn(record_leaves(shared.clone())),
             tokio::spawn(record_crashes(shared.clone())),
             tokio::spawn(exchange_tokens(shared.clone())),
--- a/src/sidecar/process/sidecar_metrics.rs
+++ b/src/sidecar/process/sidecar_metrics.rs
@@ -76,6 +76,10 @@
     pub suspects: Gauge,
     is_limited: Gauge,
     limit_per_second: Gauge<f64, AtomicU64>,
+    /// Organisations whose tokens are scarce, as the pools state.
+    pub scarce_organisations: Gauge,
+    /// Entries of the configuration in force that are left out or served with restrictions.
+    pub unreadable_entries: Gauge,
     /// Zones that are evacuated.
     pub evacuated_zones: Gauge,
 }
@@ -152,6 +156,18 @@
             "Requests that ran at backend servers that ended, and have not ended well since",
             suspects.clone(),
         );
+        let scarce_organisations = Gauge::default();
+        registry.register(
+            "scarce_organisations",
+            "Organisations with a demand above their rate, as this daemon knows",
+            scarce_organisations.clone(),
+        );
+        let unreadable_entries = Gauge::default();
+        registry.register(
+            "configuration_unreadable_entries",
+            "Entries of the configuration in force that are left out or served with restrictions",
+            unreadable_entries.clone(),
+        );
         let evacuated_zones = Gauge::default();
         registry.register(
             "evacuated_zones",
@@ -173,6 +189,8 @@
             suspects,
             is_limited,
             limit_per_second,
+            scarce_organisations,
+            unreadable_entries,
             evacuated_zones,
         }
     }
--- a/tests/suite/policy.rs
+++ b/tests/suite/policy.rs
@@ -2,6 +2,7 @@
 
 mod admission_queue;
 mod backend_notice;
+mod backend_pace;
 mod caller_retry;
 mod crash_ledger;
 mod exchanges;
@@ -17,7 +18,9 @@
 mod retries;
 mod roots;
 mod shed;
+mod slow_start;
 mod stop_schedule;
+mod token_surge;
 mod tokens;
 mod topic_position;
 mod zone_evacuation;
