No health checks of backend servers in an evacuated zone

Cause: health checks of services with cold_per_s looked only at whether the backend server is known, so one in an evacuated zone still got them.

Change: a check begins only while the admission queue takes requests.

Result: the three tests of cold servers and evacuated_zone_gets_nothing pass. No test checks for the absence of health checks in an evacuated zone.

--- a/src/sidecar/process/backend_pacing.rs
+++ b/src/sidecar/process/backend_pacing.rs
@@ -94,11 +94,14 @@
                 let now = self.clock.now();
                 let mut state = self.lock();
                 let wait = state.queue.pace().check_wait(now);
-                if let (Some(Duration::ZERO), Some(target)) = (wait, state.target.clone()) {
+                // A suspended backend server or one in an evacuated zone gets no checks either.
+                let target = state.target.clone().filter(|_| state.queue.limit() > 0);
+                let has_target = target.is_some();
+                if let (Some(Duration::ZERO), Some(target)) = (wait, target) {
                     state.queue.pace_mut().begin_check(now);
                     return target;
                 }
-                wait.filter(|_| state.target.is_some())
+                wait.filter(|_| has_target)
             };
             let wait = wait.unwrap_or(CHECK_IDLE_INTERVAL).max(PACED_WAIT_MIN);
             // At the timeout, requests that were sent without a wait count too.
