Send the unreadable record at the end of the Records message

Cause: ConfigReport::unread stood between fields that releases without it send, so that a link between the two releases would misread the directory's report.

Change: the record is the last field of Records, as evacuations before it, and absent fields decode as none. It is boxed for the size of the message.

A link to an earlier release was not tried.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -63,6 +63,9 @@
         /// Absent from messages of releases without evacuations.
         #[serde(deserialize_with = "deserialize_last")]
         evacuations: Option<EvacuationClaim>,
+        /// `ConfigReport::unread`; absent from messages of releases that do not pass it on.
+        #[serde(deserialize_with = "deserialize_last")]
+        unread: Option<Box<Bytes>>,
     },
     /// Transfers tokens to the receiver.
     Tokens(Vec<TokenAmount>),
@@ -142,6 +145,8 @@
     /// The record of the version, if the receiver lacks it.
     pub(crate) record: Option<Bytes>,
     /// A record before `position` that the sender cannot read, but a receiver of another release may.
+    /// It is sent at the end of the message, which earlier releases do not read.
+    #[serde(skip)]
     pub(crate) unread: Option<Bytes>,
 }
 
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -9,7 +9,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
-use super::frame::{FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames};
+use super::frame::{
+    ConfigReport, FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, write_frames,
+};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::policy::answer_verdict::is_final_status;
@@ -210,7 +212,9 @@
         }
         PeerMessage::Tokens(amounts) => shared.quota.receive(&amounts),
         PeerMessage::TokenCutoffs(cutoffs) => shared.quota.set_cutoffs(&cutoffs),
-        PeerMessage::Records { number, configuration, directory, evacuations } => {
+        PeerMessage::Records { number, configuration, directory, evacuations, unread } => {
+            let configuration = configuration
+                .map(|report| ConfigReport { unread: unread.map(|record| *record), ..report });
             let source = PositionSource::Daemon(peer.name.clone());
             let requested = link.requested_at(number);
             let reports = StoreReports { configuration, directory, evacuations };
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -11,7 +11,8 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::frame::{
-    FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage, write_frames,
+    ConfigReport, FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage,
+    write_frames,
 };
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
 use super::record_request::RecordRequests;
@@ -60,7 +61,7 @@
     version: u64,
     directory: Option<StorePosition>,
     /// The last record sent that this daemon cannot read; it is sent once.
-    unread: Option<Bytes>,
+    unread: Option<Box<Bytes>>,
     /// The evacuated zones of the last message.
     evacuated: Arc<ZoneSet>,
 }
@@ -82,9 +83,9 @@
         self.directory = shared.store_view.directory.cursor().max(directory);
         self.evacuated = shared.evacuated.load_full();
         let mut reports = shared.store_reports(number, version, directory);
-        if let PeerMessage::Records { configuration: Some(report), .. } = &mut reports {
-            let unread = report.unread.take_if(|unread| self.unread.as_ref() == Some(unread));
-            self.unread = unread.or_else(|| report.unread.clone());
+        if let PeerMessage::Records { unread, .. } = &mut reports {
+            let sent = unread.take_if(|unread| self.unread.as_ref() == Some(unread));
+            self.unread = sent.or_else(|| unread.clone());
         }
         reports
     }
@@ -144,113 +145,114 @@
     let mut silence = std::pin::pin!(sleep(SILENCE_TIMEOUT));
     loop {
         tokio::select! {
-            biased;
-            message = reader.read() => {
-                let message = match message {
-                    Ok(message) => message,
-                    Err(error) => return error,
-                };
-                silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_TIMEOUT);
-                match message {
-                    PeerMessage::Call(call) => {
-                        let number = call.number;
-                        let run = run_call(shared.clone(), call, sender.clone(), ended_sender.clone());
-                        calls.running.insert(number, tokio::spawn(run).abort_handle());
-                    }
-                    PeerMessage::Cancel(number) => {
-                        calls.running.remove(&number).iter().for_each(AbortHandle::abort);
-                    }
-                    PeerMessage::Tokens(amounts) => {
-                        shared.quota.receive(&amounts);
-                        let cutoffs = shared.quota.cutoffs(&amounts);
-                        if !send_cutoffs(&sender, cutoffs) {
-                            return LinkError::Closed;
-                        }
-                    }
-                    PeerMessage::RequestTokens(requests) => {
-                        let lent = shared.quota.lend(&requests);
-                        if !lent.is_empty() && sender.send(PeerMessage::Tokens(lent)).is_err() {
-                            return LinkError::Closed;
-                        }
-                        let cutoffs = shared.quota.cutoffs(&requests);
-                        if !send_cutoffs(&sender, cutoffs) {
-                            return LinkError::Closed;
-                        }
-                    }
-                    PeerMessage::TokenDemand(demands) => {
-                        let cutoffs = shared.quota.observe_demand(&demands);
-                        if !send_cutoffs(&sender, cutoffs) {
-                            return LinkError::Closed;
-                        }
-                    }
-                    PeerMessage::AskRecords { number, version, directory } => {
-                        follower.ask(shared.clock.now());
-                        let reports = follower.reports(shared, Some(number), version, directory);
-                        if sender.send(reports).is_err() {
-                            return LinkError::Closed;
-                        }
-                    }
-                    PeerMessage::Records { number, configuration, directory, evacuations } => {
-                        let requested = start_requests.requested_at(number);
-                        let source = PositionSource::LinkedDaemon;
-                        let reports = StoreReports { configuration, directory, evacuations };
-                        shared.merge_reports(&source, requested, reports);
-                    }
-                    PeerMessage::Notice(notice) => learn_notice(shared, notice),
-                    PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
-                    PeerMessage::Leaves(leaves) => note_leaves(shared, &leaves),
-                    PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
-                    PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
-                    PeerMessage::Hello { .. }
-                    | PeerMessage::Alive
-                    | PeerMessage::Load(_)
-                    | PeerMessage::Answer(_)
-                    | PeerMessage::HoldLeaves { .. }
-                    | PeerMessage::TokenCutoffs(_) => {}
-                }
-            }
-            Some(number) = ended.recv() => {
-                calls.running.remove(&number);
-            }
-            _ = store_changes.changed() => {
-                let news = follower.news(shared);
-                if news.is_some_and(|news| sender.send(news).is_err()) {
-                    return LinkError::Closed;
-                }
-            }
-            Ok(message) = crash_news.recv() => {
-                if sender.send(message).is_err() {
-                    return LinkError::Closed;
-                }
-            }
-            _ = load_changes.changed() => {
-                if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
-                    return LinkError::Closed;
-                }
-            }
-            _ = keepalive.tick() => {
-                if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
-                    return LinkError::Closed;
-                }
-            }
-            // This daemon has just started, with many others or while the store is down.
-            _ = start_checks.tick(), if !shared.is_listed() => {
-                if shared.take_start_request()
-                    && let Some(number) = start_numbers.next()
-                {
-                    start_requests.record(number, shared.clock.now());
-                    let ask = PeerMessage::AskRecords {
-                        number,
-                        version: shared.store_view.configuration.version(),
-                        directory: shared.store_view.directory.cursor(),
-                    };
-                    if sender.send(ask).is_err() {
-                        return LinkError::Closed;
-                    }
-                }
-            }
-            () = &mut silence => return LinkError::Silent,
-        }
+                   biased;
+                   message = reader.read() => {
+                       let message = match message {
+                           Ok(message) => message,
+                           Err(error) => return error,
+                       };
+                       silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_TIMEOUT);
+                       match message {
+                           PeerMessage::Call(call) => {
+                               let number = call.number;
+                               let run = run_call(shared.clone(), call, sender.clone(), ended_sender.clone());
+                               calls.running.insert(number, tokio::spawn(run).abort_handle());
+                           }
+                           PeerMessage::Cancel(number) => {
+                               calls.running.remove(&number).iter().for_each(AbortHandle::abort);
+                           }
+                           PeerMessage::Tokens(amounts) => {
+                               shared.quota.receive(&amounts);
+                               let cutoffs = shared.quota.cutoffs(&amounts);
+                               if !send_cutoffs(&sender, cutoffs) {
+                                   return LinkError::Closed;
+                               }
+                           }
+                           PeerMessage::RequestTokens(requests) => {
+                               let lent = shared.quota.lend(&requests);
+                               if !lent.is_empty() && sender.send(PeerMessage::Tokens(lent)).is_err() {
+                                   return LinkError::Closed;
+                               }
+                               let cutoffs = shared.quota.cutoffs(&requests);
+                               if !send_cutoffs(&sender, cutoffs) {
+                                   return LinkError::Closed;
+                               }
+                           }
+                           PeerMessage::TokenDemand(demands) => {
+                               let cutoffs = shared.quota.observe_demand(&demands);
+                               if !send_cutoffs(&sender, cutoffs) {
+                                   return LinkError::Closed;
+                               }
+                           }
+                           PeerMessage::AskRecords { number, version, directory } => {
+                               follower.ask(shared.clock.now());
+                               let reports = follower.reports(shared, Some(number), version, directory);
+                               if sender.send(reports).is_err() {
+                                   return LinkError::Closed;
+                               }
+                           }
+                           PeerMessage::Records { number, configuration, directory, evacuations, unread } => {
+        let configuration = configuration.map(|report| ConfigReport { unread: unread.map(|record| *record), ..report });
+                               let requested = start_requests.requested_at(number);
+                               let source = PositionSource::LinkedDaemon;
+                               let reports = StoreReports { configuration, directory, evacuations };
+                               shared.merge_reports(&source, requested, reports);
+                           }
+                           PeerMessage::Notice(notice) => learn_notice(shared, notice),
+                           PeerMessage::LeavesHeld { number } => shared.backend_watch.confirm_held(number),
+                           PeerMessage::Leaves(leaves) => note_leaves(shared, &leaves),
+                           PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
+                           PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
+                           PeerMessage::Hello { .. }
+                           | PeerMessage::Alive
+                           | PeerMessage::Load(_)
+                           | PeerMessage::Answer(_)
+                           | PeerMessage::HoldLeaves { .. }
+                           | PeerMessage::TokenCutoffs(_) => {}
+                       }
+                   }
+                   Some(number) = ended.recv() => {
+                       calls.running.remove(&number);
+                   }
+                   _ = store_changes.changed() => {
+                       let news = follower.news(shared);
+                       if news.is_some_and(|news| sender.send(news).is_err()) {
+                           return LinkError::Closed;
+                       }
+                   }
+                   Ok(message) = crash_news.recv() => {
+                       if sender.send(message).is_err() {
+                           return LinkError::Closed;
+                       }
+                   }
+                   _ = load_changes.changed() => {
+                       if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
+                           return LinkError::Closed;
+                       }
+                   }
+                   _ = keepalive.tick() => {
+                       if sender.send(PeerMessage::Load(shared.backend_admission.load())).is_err() {
+                           return LinkError::Closed;
+                       }
+                   }
+                   // This daemon has just started, with many others or while the store is down.
+                   _ = start_checks.tick(), if !shared.is_listed() => {
+                       if shared.take_start_request()
+                           && let Some(number) = start_numbers.next()
+                       {
+                           start_requests.record(number, shared.clock.now());
+                           let ask = PeerMessage::AskRecords {
+                               number,
+                               version: shared.store_view.configuration.version(),
+                               directory: shared.store_view.directory.cursor(),
+                           };
+                           if sender.send(ask).is_err() {
+                               return LinkError::Closed;
+                           }
+                       }
+                   }
+                   () = &mut silence => return LinkError::Silent,
+               }
     }
 }
 
--- a/src/sidecar/process/sidecar_shared.rs
+++ b/src/sidecar/process/sidecar_shared.rs
@@ -346,11 +346,14 @@
         directory: Option<StorePosition>,
     ) -> PeerMessage {
         let now = self.clock.now();
+        let mut configuration = self.store_view.configuration.report(now, version);
+        let unread = configuration.as_mut().and_then(|report| report.unread.take()).map(Box::new);
         PeerMessage::Records {
             number,
-            configuration: self.store_view.configuration.report(now, version),
+            configuration,
             directory: self.store_view.directory.report(now, directory),
             evacuations: Some(self.store_view.configuration.evacuation_claim()),
+            unread,
         }
     }
 
