--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -218,7 +218,8 @@
             shared.root_start.learn(shared, &peer.name, &knowledge);
         }
         PeerMessage::TokenCutoffs(cutoffs) => shared.quota.set_cutoffs(&cutoffs),
-        PeerMessage::Records { number, configuration, directory, evacuations } => {
+        PeerMessage::Records { number, configuration, directory, evacuations, unread } => {
+            let configuration = configuration.map(|report| report.with_unread(unread));
             let source = PositionSource::Daemon(peer.name.clone());
             let requested = link.requested_at(number);
             let reports = StoreReports { configuration, directory, evacuations };
