Soak: cold upstreams and evacuated zones

Cause: the soak drew no upstream that becomes cold and no evacuation, so that it could not fail on daemons that ignore them. Two checks: a cold upstream gets at most 30.5 requests in a second, and from 5 s after an evacuation no upstream of the zone gets a request from a daemon in touch.

--- a/lab/src/soak/deadly.rs
+++ b/lab/src/soak/deadly.rs
@@ -1,5 +1,6 @@
 //! Requests that end each upstream that runs them, and the upstreams' return.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::callers::send_once;
-use super::history::{CallerOutcome, SentRequest};
+use super::history::{CRASH_STABLE_TIME, CallerOutcome, HistoryState, SentRequest};
 use super::{POLL_INTERVAL, Soak, UNLIMITED};
 
 /// Time between requests with the same contents, each at the next daemon.
@@ -18,6 +19,7 @@
 /// Shortest time for which they are sent: the third end, the time after which the limit binds, and
 /// some more.
 const DEADLY_SPAN: Duration = Duration::from_secs(10);
+const SENDS_AFTER_CRASHES_MAX: usize = 3;
 /// Time after which an upstream that ended is back.
 const UPSTREAM_RETURN_TIME: Duration = Duration::from_millis(2_500);
 
@@ -69,3 +71,26 @@
         sleep(POLL_INTERVAL).await;
     }
 }
+
+impl HistoryState {
+    /// A request that has ended three upstreams reaches few more, from daemons in touch.
+    pub(super) fn check_deadly(&self, violations: &mut Vec<String>) {
+        let mut requests: HashMap<&str, Vec<(Instant, &str)>> = HashMap::new();
+        for (id, runs) in &self.runs {
+            for (at, run) in runs.iter().filter(|(_, run)| run.path.contains(DEADLY_PATH)) {
+                requests.entry(&run.path).or_default().push((*at, id));
+            }
+        }
+        for (path, mut runs) in requests {
+            runs.sort_unstable();
+            let Some((third, _)) = runs.get(2).copied() else { continue };
+            let is_late = |(at, id): &&(Instant, &str)| {
+                *at > third + CRASH_STABLE_TIME && self.is_in_touch(id, third, *at)
+            };
+            let late = runs.iter().filter(is_late).count();
+            if late > SENDS_AFTER_CRASHES_MAX {
+                violations.push(format!("{path}: {late} sends after the third end of an upstream"));
+            }
+        }
+    }
+}
--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -6,6 +6,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::evacuations::EVACUATION_TIMEOUT;
+use super::node::ZONES;
+
 /// Faults per second of the run.
 const FAULTS_PER_SECOND: f64 = 1.2;
 const STORE_RETURN_SEED: u64 = 0x5702_e2a1;
@@ -13,6 +16,8 @@
 const LEAVE_SEED: u64 = 0x1ea7_e5e5;
 const ANSWER_SEED: u64 = 0x0503_c0b1;
 const HISTORY_SEED: u64 = 0x4151_0c04;
+const COLD_SEED: u64 = 0x00c0_1d5e;
+const EVACUATION_SEED: u64 = 0xe0ac_5eed;
 
 /// A fault of one node or of a shared component; the `usize` is the node's index.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -57,6 +62,10 @@
     },
     /// All upstreams refuse a share of the requests and send answers once more.
     CopyAnswers(AnswerFaultPlan),
+    /// The upstream becomes cold: it takes few requests per second for a while.
+    ChillUpstream(usize),
+    /// Nothing may be sent to the upstreams of a zone for a while.
+    EvacuateZone(usize),
     /// A key of an organisation is withdrawn.
     WithdrawKey,
     /// A route is added.
@@ -107,8 +116,8 @@
     /// Whether this is a planned operation, during which no request may be lost.
     pub(crate) fn is_planned_operation(self) -> bool {
         use SoakFault::{
-            AddRoute, DrainUpstream, LimitUpstream, Reload, RestartAndLeave, Stop, TellLeave,
-            WithdrawKey,
+            AddRoute, ChillUpstream, DrainUpstream, EvacuateZone, LimitUpstream, Reload,
+            RestartAndLeave, Stop, TellLeave, WithdrawKey,
         };
         matches!(
             self,
@@ -118,6 +127,8 @@
                 | DrainUpstream(_)
                 | LimitUpstream(_)
                 | TellLeave(_)
+                | ChillUpstream(_)
+                | EvacuateZone(_)
                 | WithdrawKey
                 | AddRoute
         )
@@ -149,6 +160,8 @@
     plan.extend(draw_deadly_requests(seed, length));
     plan.extend(draw_leaves(seed, nodes, length, planned_only));
     plan.extend(draw_answer_faults(seed, length));
+    plan.extend(draw_cold_upstreams(seed, nodes, length));
+    plan.extend(draw_evacuation(seed, length));
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -231,6 +244,32 @@
     vec![draw(0.0), draw(0.5)]
 }
 
+/// Upstreams that become cold, three in half of the runs, those with planned operations only among
+/// them. They are drawn apart as well.
+fn draw_cold_upstreams(seed: u64, nodes: usize, length: Duration) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ COLD_SEED);
+    if random.random_bool(0.5) {
+        return Vec::new();
+    }
+    let mut draw = || PlannedFault {
+        at: length.mul_f64(random.random_range(0.0..0.8)),
+        duration: Duration::from_millis(random.random_range(800..3_000)),
+        fault: SoakFault::ChillUpstream(random.random_range(0..nodes)),
+    };
+    (0..3).map(|_| draw()).collect()
+}
+
+/// The evacuation of a zone in half of the runs, those with planned operations only among them. It is
+/// drawn apart as well.
+fn draw_evacuation(seed: u64, length: Duration) -> Option<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
+    random.random_bool(0.5).then(|| PlannedFault {
+        at: length.mul_f64(random.random_range(0.0..0.4)),
+        duration: EVACUATION_TIMEOUT + Duration::from_millis(random.random_range(200..3_000)),
+        fault: SoakFault::EvacuateZone(random.random_range(0..ZONES)),
+    })
+}
+
 fn draw_fault(random: &mut StdRng, nodes: usize) -> SoakFault {
     let node = random.random_range(0..nodes);
     match random.random_range(0..17) {
--- a/lab/src/soak/history.rs
+++ b/lab/src/soak/history.rs
@@ -4,9 +4,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use lentilway_stand_ins::platform::upstream::{
-    DEADLY_PATH, UpstreamObserver, UpstreamRun, UpstreamStatement,
-};
+use lentilway_stand_ins::platform::upstream::{UpstreamObserver, UpstreamRun, UpstreamStatement};
 
 // Bounds from the settings that the soak writes and from the platform's rules.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -27,8 +25,7 @@
 /// An unplanned fault excuses connections that end within this time before or after it.
 const FAULT_MARGIN: Duration = Duration::from_secs(3);
 /// The bound on a request that ends upstreams binds from this time after the third of them.
-const CRASH_STABLE_TIME: Duration = Duration::from_secs(3);
-const SENDS_AFTER_CRASHES_MAX: usize = 3;
+pub(super) const CRASH_STABLE_TIME: Duration = Duration::from_secs(3);
 /// Statuses which guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -72,9 +69,13 @@
 }
 
 #[derive(Debug, Default)]
-struct HistoryState {
+pub(super) struct HistoryState {
     sent: HashMap<String, SentRequest>,
-    runs: HashMap<String, Vec<(Instant, UpstreamRun)>>,
+    pub(super) runs: HashMap<String, Vec<(Instant, UpstreamRun)>>,
+    /// Cold upstreams, with the begin and end of each time.
+    pub(super) cold: Vec<(String, Instant, Instant)>,
+    /// Evacuated zones, with the acknowledgement and the end of each evacuation.
+    pub(super) evacuations: Vec<(usize, Instant, Instant)>,
     /// Departures of upstreams with the time of the first acknowledgement, by instance.
     leaves: HashMap<String, Instant>,
     /// Withdrawn keys with the time from which the current configuration lacks them.
@@ -177,6 +178,16 @@
         self.lock().interruptions.push((daemon, Instant::now()));
     }
 
+    /// Records that an upstream is cold from `from` to `until`.
+    pub(super) fn record_cold(&self, instance: &str, from: Instant, until: Instant) {
+        self.lock().cold.push((instance.to_owned(), from, until));
+    }
+
+    /// Records that a zone was evacuated from `from` to `until`.
+    pub(super) fn record_evacuation(&self, zone: usize, from: Instant, until: Instant) {
+        self.lock().evacuations.push((zone, from, until));
+    }
+
     /// Records the limit that an upstream states from `at` on.
     pub fn record_limit(&self, instance: &str, limit: Option<f64>, at: Instant) {
         self.lock().limits.entry(instance.to_owned()).or_default().push((at, limit));
@@ -231,6 +242,8 @@
         state.check_limits(&mut violations);
         state.check_told_leaves(&mut violations);
         state.check_deadly(&mut violations);
+        state.check_cold(&mut violations);
+        state.check_evacuations(&mut violations);
         violations
     }
 
@@ -399,29 +412,8 @@
         }
     }
 
-    /// A request that has ended three upstreams reaches few more, from daemons in touch.
-    fn check_deadly(&self, violations: &mut Vec<String>) {
-        let mut requests: HashMap<&str, Vec<(Instant, &str)>> = HashMap::new();
-        for (id, runs) in &self.runs {
-            for (at, run) in runs.iter().filter(|(_, run)| run.path.contains(DEADLY_PATH)) {
-                requests.entry(&run.path).or_default().push((*at, id));
-            }
-        }
-        for (path, mut runs) in requests {
-            runs.sort_unstable();
-            let Some((third, _)) = runs.get(2).copied() else { continue };
-            let is_late = |(at, id): &&(Instant, &str)| {
-                *at > third + CRASH_STABLE_TIME && self.is_in_touch(id, third, *at)
-            };
-            let late = runs.iter().filter(is_late).count();
-            if late > SENDS_AFTER_CRASHES_MAX {
-                violations.push(format!("{path}: {late} sends after the third end of an upstream"));
-            }
-        }
-    }
-
     /// Whether the daemon where a request began at `at` could know what happened at `since`.
-    fn is_in_touch(&self, id: &str, since: Instant, at: Instant) -> bool {
+    pub(super) fn is_in_touch(&self, id: &str, since: Instant, at: Instant) -> bool {
         let interrupted = self.origin(id).and_then(|daemon| self.last_interruption(daemon, at));
         let has_fault = self.faults.iter().any(|(from, until)| *from < at && *until > since);
         !has_fault && interrupted.is_none_or(|interrupted| at > interrupted + CRASH_STABLE_TIME)
@@ -472,12 +464,12 @@
 
 /// The index of the daemon beside an upstream, from the id of the instance or of its sub-call:
 /// `i-node-INDEX-START` or `i-node-INDEX-START-NUMBER`.
-fn daemon_of(instance: &str) -> Option<usize> {
+pub(super) fn daemon_of(instance: &str) -> Option<usize> {
     instance.strip_prefix("i-node-")?.split('-').next()?.parse().ok()
 }
 
 /// The largest number of `times`, which are sorted, within any window of length `span`.
-fn max_within(times: &[Instant], span: Duration) -> usize {
+pub(super) fn max_within(times: &[Instant], span: Duration) -> usize {
     let mut first = 0;
     let mut max = 0;
     for (last, time) in times.iter().enumerate() {
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -8,27 +8,31 @@
 use std::time::{Duration, Instant};
 
 use lentilway_stand_ins::link::LinkMode;
-use lentilway_stand_ins::platform::store::{StoreMode, StoreServer};
-use lentilway_stand_ins::platform::{RoutePlan, TenantPlan, config_record};
+use lentilway_stand_ins::platform::store::StoreServer;
+use lentilway_stand_ins::platform::{RoutePlan, TenantPlan, cold_service_entry, config_record};
 use rustix::process::Signal;
 use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 mod callers;
+mod cold_upstreams;
 mod deadly;
+mod evacuations;
 mod fault;
 pub mod history;
 mod node;
 mod readiness;
+mod store_faults;
 mod upstreams;
 
 use callers::{CallerGroup, CallerOrganisation, CallerRoute, run_caller};
+use cold_upstreams::COLD_PER_SECOND;
 use deadly::return_upstreams;
-use fault::{LinkFault, NodeLink, PlannedFault, SoakFault, StoreFault, draw_plan};
+use fault::{LinkFault, NodeLink, PlannedFault, SoakFault, draw_plan};
 use history::{DRAIN_TIMEOUT, SoakHistory};
-use node::SoakNode;
 pub use node::SoakPaths;
+use node::{SoakNode, ZONES};
 use readiness::watch_ready;
 
 /// Services of the nodes; each run of the first calls the second.
@@ -47,14 +51,6 @@
 /// A fleet that does not serve after this time has failed to start.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 const LINK_DELAY: Duration = Duration::from_millis(300);
-const STORE_DELAY: Duration = Duration::from_millis(200);
-const LOST_ANSWER_FRACTION: f64 = 0.5;
-/// Age of the copy that the store comes back from, in times of its absence.
-const COPY_AGE_FACTOR: u32 = 3;
-/// Versions that the copy lacks besides one with a change, so that fewer are written afterwards.
-const LOST_VERSIONS: usize = 4;
-/// Part of its absence after which the operator writes its version again.
-const REWRITE_DELAY_DIVISOR: u32 = 5;
 /// Time in which an upstream repeats a leave that is not acknowledged.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which an upstream serves after a heartbeat that arrives late.
@@ -113,6 +109,10 @@
     version: u64,
     withdrawn: usize,
     added: usize,
+    /// Whether the services limit the rate of requests to cold upstreams.
+    limits_cold: bool,
+    /// Whether each zone is evacuated; `None` if it never was.
+    evacuated: [Option<bool>; ZONES],
     /// The newest version as written.
     record: serde_json::Value,
 }
@@ -124,7 +124,9 @@
 pub async fn run_soak(paths: SoakPaths, settings: &SoakSettings) -> std::io::Result<SoakReport> {
     std::fs::create_dir_all(&paths.folder)?;
     let plan = draw_plan(settings.seed, settings.nodes, settings.duration);
-    let soak = Arc::new(Soak::start(paths, settings.nodes).await?);
+    let limits_cold =
+        plan.iter().any(|planned| matches!(planned.fault, SoakFault::ChillUpstream(_)));
+    let soak = Arc::new(Soak::start(paths, settings.nodes, limits_cold).await?);
     let (end, ended) = watch::channel(false);
     let mut tasks = soak.start_callers(settings.seed, &ended).await;
     if !soak.wait_served().await {
@@ -147,10 +149,10 @@
 }
 
 impl Soak {
-    async fn start(paths: SoakPaths, count: usize) -> std::io::Result<Self> {
+    async fn start(paths: SoakPaths, count: usize, limits_cold: bool) -> std::io::Result<Self> {
         let store = StoreServer::start((Ipv4Addr::LOCALHOST, 0).into()).await?;
         let history = Arc::new(SoakHistory::default());
-        let soak_config = SoakConfig::default();
+        let soak_config = SoakConfig { limits_cold, ..SoakConfig::default() };
         let mut nodes = Vec::new();
         for number in 0..count {
             let service = SERVICES[number % SERVICES.len()];
@@ -202,7 +204,13 @@
                     .collect(),
                 rate,
             });
-        config.record = config_record(config.version, &routes, &tenants);
+        let mut record = config_record(config.version, &routes, &tenants);
+        if config.limits_cold {
+            let entries = SERVICES.map(|service| cold_service_entry(service, COLD_PER_SECOND));
+            let resources = record["resources"].as_array_mut();
+            resources.expect("a configuration lists its resources").extend(entries);
+        }
+        config.record = record;
         self.store.write_config(&config.record);
     }
 
@@ -230,38 +238,6 @@
         });
     }
 
-    /// Has the store come back, after a silence of `duration`, from a copy that lacks what was
-    /// written since shortly before. The operator writes its version again a moment later, and then
-    /// goes on.
-    async fn restore_store(&self, duration: Duration) {
-        for _ in 0..LOST_VERSIONS {
-            self.write_config(|_| {}).await;
-        }
-        self.add_route().await;
-        sleep(duration).await;
-        self.store.set_mode(StoreMode::Silent);
-        sleep(duration).await;
-        self.store.restore(duration * COPY_AGE_FACTOR);
-        self.store.set_mode(StoreMode::Healthy);
-        sleep(duration / REWRITE_DELAY_DIVISOR).await;
-        let record = self.config.lock().await.record.clone();
-        self.store.write_config(&record);
-        sleep(duration / REWRITE_DELAY_DIVISOR).await;
-        self.withdraw_key().await;
-        self.add_route().await;
-    }
-
-    /// Has the store drop its records in a silence of `duration`, in which the operator withdraws a key
-    /// and adds a route; what is older than the newest version cannot be read any more.
-    async fn drop_history(&self, duration: Duration) {
-        self.store.set_mode(StoreMode::Silent);
-        sleep(duration).await;
-        self.withdraw_key().await;
-        self.add_route().await;
-        self.store.drop_all_history();
-        self.store.set_mode(StoreMode::Healthy);
-    }
-
     async fn start_callers(
         self: &Arc<Self>,
         seed: u64,
@@ -354,14 +330,14 @@
                 self.fail_link(node, link, fault, planned.duration).await
             }
             SoakFault::Store(fault) => {
-                self.store.set_mode(store_mode(fault));
-                sleep(planned.duration).await;
-                self.store.set_mode(StoreMode::Healthy);
+                self.fail_store(fault, planned.duration).await;
             }
             SoakFault::RestoreStore => self.restore_store(planned.duration).await,
             SoakFault::DropHistory => self.drop_history(planned.duration).await,
             SoakFault::SendDeadly { is_safe } => self.send_deadly(is_safe, planned.duration).await,
             SoakFault::CopyAnswers(plan) => self.copy_answers(plan, planned.duration).await,
+            SoakFault::ChillUpstream(node) => self.chill_upstream(node, planned.duration).await,
+            SoakFault::EvacuateZone(zone) => self.evacuate_zone(zone, planned.duration).await,
             SoakFault::WithdrawKey => self.withdraw_key().await,
             SoakFault::AddRoute => self.add_route().await,
         }
@@ -473,12 +449,3 @@
         }
     }
 }
-
-fn store_mode(fault: StoreFault) -> StoreMode {
-    match fault {
-        StoreFault::Busy => StoreMode::Busy,
-        StoreFault::Silent => StoreMode::Silent,
-        StoreFault::Slow => StoreMode::Slow(STORE_DELAY),
-        StoreFault::LosesAnswers => StoreMode::LosesAnswers(LOST_ANSWER_FRACTION),
-    }
-}
--- a/lab/src/soak/node.rs
+++ b/lab/src/soak/node.rs
@@ -14,10 +14,13 @@
 use lentilway_stand_ins::platform::{DaemonPlan, settings_file};
 use rustix::process::{Pid, Signal, kill_process};
 
+use super::cold_upstreams::COLD_BOUNDS;
 use super::history::SoakHistory;
 
 /// Environment variable with the path of a daemon's settings file.
 const SETTINGS_VARIABLE: &str = "LENTILWAY_BOOT";
+/// Number of availability zones.
+pub(crate) const ZONES: usize = 2;
 const SERVICE_TIME: Duration = Duration::from_millis(15);
 
 /// Paths that the soak uses.
@@ -53,6 +56,11 @@
     Ipv4Addr::new(127, 128 | (high & 31) << 1 | (number >> 8) as u8 & 1, middle ^ low, number as u8)
 }
 
+/// The name of a zone by its index.
+pub(crate) fn zone_name(index: usize) -> String {
+    format!("zone-{index}")
+}
+
 fn free_port(ip: Ipv4Addr) -> std::io::Result<SocketAddr> {
     std::net::TcpListener::bind((ip, 0))?.local_addr()
 }
@@ -75,7 +83,7 @@
         let name = format!("node-{number}");
         store.advertise_link(&name, peer_link.address());
         let plan = DaemonPlan {
-            zone: format!("zone-{}", number % 2),
+            zone: zone_name(number % ZONES),
             service: service.to_owned(),
             upstream: upstream_link.address(),
             outbound: free_port(ip)?,
@@ -87,7 +95,7 @@
             name,
         };
         let settings = paths.folder.join(format!("{}.toml", plan.name));
-        std::fs::write(&settings, settings_file(&plan))?;
+        std::fs::write(&settings, settings_file(&plan) + COLD_BOUNDS)?;
         let mut node = SoakNode {
             plan,
             settings,
--- a/stand-ins/src/platform/mod.rs
+++ b/stand-ins/src/platform/mod.rs
@@ -26,6 +26,12 @@
 pub const LIMIT: &str = "server-limit";
 /// Header that is `1` in all answers of an upstream that leaves.
 pub const LEAVING: &str = "server-leaving";
+/// Header with the id of an upstream, in its answers to health checks.
+pub const INSTANCE: &str = "x-lentilway-instance-id";
+/// Header with the milliseconds for which an upstream stays cold, in its answers to health checks.
+pub const COLD_MILLIS: &str = "x-lentilway-cold-ms";
+/// Path of the health check of all services.
+pub const HEALTH_PATH: &str = "/healthz";
 /// Path of the readiness check.
 pub const READY_PATH: &str = "/api/readyz";
 /// Host name of all routes.
@@ -97,6 +103,12 @@
     pub rate: f64,
 }
 
+/// Returns the entry of a service whose cold upstreams take `per_second` requests per second.
+pub fn cold_service_entry(name: &str, per_second: f64) -> Value {
+    json!({"entry_kind": "services", "metadata": {"name": name}, "spec": {
+        "health_path": HEALTH_PATH, "cold_start_s": 1.5, "cold_per_s": per_second}})
+}
+
 /// Returns one complete version of the operator's configuration.
 pub fn config_record(version: u64, routes: &[RoutePlan], tenants: &[TenantPlan]) -> Value {
     let routes = routes.iter().map(|route| {
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -21,6 +21,7 @@
 
 const OPERATOR_TOPIC: &str = "keyed.op";
 const CONFIG_KEY: &str = "config";
+const EVACUATION_PREFIX: &str = "evacuate/";
 /// The topic in which daemons discover each other.
 const DIRECTORY_TOPIC: &str = "keyed.daemons";
 const LENGTH_PREFIX_BYTES: usize = 4;
@@ -100,6 +101,12 @@
         self.state.append(OPERATOR_TOPIC, vec![(CONFIG_KEY.to_owned(), value)]);
     }
 
+    /// Requests or ends, as the operator, that nothing is sent to the upstreams of a zone.
+    pub fn write_evacuation(&self, zone: &str, is_evacuated: bool) {
+        let value = if is_evacuated { Bytes::from_static(b"{}") } else { Bytes::new() };
+        self.state.append(OPERATOR_TOPIC, vec![(format!("{EVACUATION_PREFIX}{zone}"), value)]);
+    }
+
     /// Comes back from a copy that was taken `age` ago: what was written since is gone, and offsets
     /// are assigned again. The operator's records are to be written again by the caller.
     pub fn restore(&self, age: Duration) {
--- a/stand-ins/src/platform/upstream.rs
+++ b/stand-ins/src/platform/upstream.rs
@@ -12,13 +12,13 @@
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::answer_faults::AnswerFaults;
 use super::connection::serve_connection;
 use super::{
-    DEADLINE_MILLIS, HOST, LEAVING, LIMIT, NOT_EXECUTED, ORGANISATION, REQUEST_ID, SIGNATURE,
-    TARGET,
+    COLD_MILLIS, DEADLINE_MILLIS, HEALTH_PATH, HOST, INSTANCE, LEAVING, LIMIT, NOT_EXECUTED,
+    ORGANISATION, REQUEST_ID, SIGNATURE, TARGET,
 };
 use crate::http::{HttpClient, ReceivedRequest, ServerReply, exchange, http_client, serve_streams};
 
@@ -114,6 +114,8 @@
     /// Whether answers tell of a leave that is not announced.
     tells_leave: AtomicBool,
     limit: Mutex<Option<f64>>,
+    /// Until when it is cold.
+    cold_until: Mutex<Option<Instant>>,
     /// Notified when a request ends the upstream.
     crash: Notify,
     sequence: AtomicU64,
@@ -150,6 +152,7 @@
             is_silent: AtomicBool::new(false),
             tells_leave: AtomicBool::new(false),
             limit: Mutex::new(None),
+            cold_until: Mutex::new(None),
             crash: Notify::new(),
             sequence: AtomicU64::new(0),
             calls: AtomicU64::new(0),
@@ -180,6 +183,11 @@
         self.state.observer.limit_changed(&self.state.instance, limit);
     }
 
+    /// Becomes cold for `span`, as heartbeats and answers to health checks tell.
+    pub fn become_cold(&self, span: Duration) {
+        *self.state.cold_until.lock().expect("lock not poisoned") = Some(Instant::now() + span);
+    }
+
     /// Says in its answers that it leaves, while its heartbeats are late and still say "ready".
     pub fn tell_leave(&self) {
         self.state.tells_leave.store(true, Ordering::SeqCst);
@@ -265,12 +273,31 @@
     let is_draining = state.is_draining.load(Ordering::SeqCst);
     let phase = if is_draining { "draining" } else { "ready" };
     let sequence = state.sequence.fetch_add(1, Ordering::SeqCst);
+    let cold = state.cold_remaining().as_secs_f64();
     let body = json!({"address": state.plan.announced.to_string(), "born": state.started_ms,
         "info": {"service": state.plan.service, "version": "v1", "zone": "zone", "slots": 16},
-        "status": {"phase": phase, "sequence": sequence, "cold_remaining_s": 0}});
+        "status": {"phase": phase, "sequence": sequence, "cold_remaining_s": cold}});
     body.to_string()
 }
 
+impl UpstreamState {
+    fn cold_remaining(&self) -> Duration {
+        let until = *self.cold_until.lock().expect("lock not poisoned");
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+}
+
+fn build_health(state: &UpstreamState) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    if state.is_draining.load(Ordering::SeqCst) {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    let headers = response.headers_mut();
+    headers.insert(INSTANCE, state.instance.parse().expect("an id is a valid header value"));
+    headers.insert(COLD_MILLIS, HeaderValue::from(state.cold_remaining().as_millis() as u64));
+    response
+}
+
 /// Sends an announcement to the daemon; whether it was acknowledged.
 async fn announce(state: &UpstreamState, method: Method, body: String) -> bool {
     let uri = format!("http://{}/api/instances/{}", state.plan.control, state.instance);
@@ -281,6 +308,9 @@
 }
 
 async fn run_request(state: Arc<UpstreamState>, request: ReceivedRequest) -> ServerReply {
+    if request.path == HEALTH_PATH {
+        return ServerReply::Send(build_health(&state));
+    }
     let id = request.header(REQUEST_ID).to_owned();
     if request.header(TARGET) != state.instance {
         return ServerReply::Send(build_response(
