No slow start of a backend server that starts warm

Cause: a slow start began whenever admission opened, at the rate of cold servers.

Change: a slow start begins when the server reports that it is cold, and when one that was open before returns.

--- a/src/policy/backend_pace.rs
+++ b/src/policy/backend_pace.rs
@@ -187,7 +187,7 @@
         self.update(now);
     }
 
-    /// Begins a slow start: the server starts or returns. Without a limit of cold servers it waits for the
+    /// Begins a slow start: the server is cold or returns. Without a limit of cold servers it waits for the
     /// next configuration, since the server may start before the first one is known.
     pub fn begin_slow_start(&mut self, now: MilliTime) {
         if self.terms.is_none() || !self.is_configured() {
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -1,7 +1,8 @@
 //! Slow start of a backend server.
 //!
-//! Handles a backend server that starts, or returns after a failure or a pause: how much it takes is
-//! not known, and a load at full rate may end it again. Its pace begins at the rate that it
+//! Handles a backend server that was cold, or returns after a failure or a pause: how much it takes is
+//! not known, and a load at full rate may end it again. One that starts warm has none: a fleet that
+//! starts whole would refuse most of its first load. Its pace begins at the rate that it
 //! tolerates while cold, doubles in each step with good answers, and is halved as soon as answers are
 //! bad: failed, refused, or much slower than usual. It ends when the pace exceeds the demand.
 
--- a/src/sidecar/process/backend_admission.rs
+++ b/src/sidecar/process/backend_admission.rs
@@ -221,6 +221,9 @@
         if is_new {
             self.pool.reset();
             state.queue.reset_measurements(now);
+        }
+        // One that starts reports whether it is cold. A warm one takes its usual load at once.
+        if is_new && state.announced.as_ref() == Some(&target.incarnation) {
             state.queue.pace_mut().begin_slow_start(now);
         }
         self.report_start(&mut state, &target.incarnation, cold_for);
