--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -307,11 +307,12 @@
                     self.skipped = LENGTH_BYTES + length;
                     return Ok(Some(ReadFrame::RefusedCall(number)));
                 }
-                (None, _) => {
+                (None, _) if is_long => {
                     self.is_waiting = true;
                     return Ok(None);
                 }
-                (Some(_), _) => {}
+                // Short messages, such as the state of the link, never wait.
+                _ => {}
             }
         }
         if !is_whole {
