--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -73,6 +73,9 @@
         /// Absent from messages of releases without evacuations.
         #[serde(deserialize_with = "deserialize_last")]
         evacuations: Option<EvacuationClaim>,
+        /// `ConfigReport::unread`; absent from messages of releases that do not pass it on.
+        #[serde(deserialize_with = "deserialize_last")]
+        unread: Option<Box<Bytes>>,
     },
     /// Transfers tokens to the receiver.
     Tokens(Vec<TokenAmount>),
@@ -159,9 +162,19 @@
     /// The record of the version, if the receiver lacks it.
     pub(crate) record: Option<Bytes>,
     /// A record before `position` that the sender cannot read, but a receiver of another release may.
+    /// It is sent at the end of the message, which earlier releases do not read.
+    #[serde(skip)]
     pub(crate) unread: Option<Bytes>,
 }
 
+impl ConfigReport {
+    /// The report with the record that came beside it.
+    pub(crate) fn with_unread(mut self: Box<Self>, unread: Option<Box<Bytes>>) -> Box<Self> {
+        self.unread = unread.map(|record| *record);
+        self
+    }
+}
+
 /// What the sender knows of a topic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TopicReport {
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -65,7 +65,7 @@
     version: u64,
     directory: Option<StorePosition>,
     /// The last record sent that this daemon cannot read; it is sent once.
-    unread: Option<Bytes>,
+    unread: Option<Box<Bytes>>,
     /// The evacuated zones of the last message.
     evacuated: Arc<ZoneSet>,
 }
@@ -87,9 +87,9 @@
         self.directory = shared.store_view.directory.cursor().max(directory);
         self.evacuated = shared.evacuated.load_full();
         let mut reports = shared.store_reports(number, version, directory);
-        if let PeerMessage::Records { configuration: Some(report), .. } = &mut reports {
-            let unread = report.unread.take_if(|unread| self.unread.as_ref() == Some(unread));
-            self.unread = unread.or_else(|| report.unread.clone());
+        if let PeerMessage::Records { unread, .. } = &mut reports {
+            let sent = unread.take_if(|unread| self.unread.as_ref() == Some(unread));
+            self.unread = sent.or_else(|| unread.clone());
         }
         reports
     }
@@ -207,7 +207,8 @@
                             return LinkError::Closed;
                         }
                     }
-                    PeerMessage::Records { number, configuration, directory, evacuations } => {
+                    PeerMessage::Records { number, configuration, directory, evacuations, unread } => {
+                        let configuration = configuration.map(|report| report.with_unread(unread));
                         let requested = start_requests.requested_at(number);
                         let source = PositionSource::LinkedDaemon;
                         let reports = StoreReports { configuration, directory, evacuations };
