--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -15,7 +15,7 @@
 use crate::config::DaemonConfig;
 use crate::error::ResultCode;
 use crate::logging::{init_logging, log_event};
-use crate::platform::{check_settings, run_sidecar};
+use crate::platform::{PlatformDialect, check_settings, run_sidecar};
 use crate::process::daemon::{Daemon, DaemonAddresses};
 use crate::version::digest::{Sha256Digest, new_key};
 
@@ -25,7 +25,7 @@
     let code = match args.command {
         LentilwayCommand::Run(args) => run(&args),
         LentilwayCommand::Check(CheckArgs { file: Some(file), against, .. }) => {
-            run_check(&file, against.as_deref())
+            run_check(&PlatformDialect::default(), &file, against.as_deref())
         }
         LentilwayCommand::Check(args) => check(&args.settings),
         LentilwayCommand::Sidecar(args) if args.check => check_settings(),
