Demand for tokens counts what is expected to keep them

Cause: the pool divides scarce tokens by the demand of each urgency. It counted urgent requests that a full service refuses, which return their tokens, and those that were cut off and would be refused there.

Change: an arrival counts with the fraction that root admission admits of its group, and not at all while its route fails.

--- a/src/policy/root_admission.rs
+++ b/src/policy/root_admission.rs
@@ -100,7 +100,7 @@
 }
 
 #[derive(Debug)]
-struct ServiceState {
+pub(super) struct ServiceState {
     reports: HashMap<u64, InstanceReport>,
     fraction: f64,
     /// Admitted fractions of the last adjustments, the newest first.
@@ -164,9 +164,9 @@
 /// Admits roots at one daemon.
 #[derive(Debug)]
 pub struct RootAdmission {
-    services: HashMap<Arc<str>, ServiceState>,
+    pub(super) services: HashMap<Arc<str>, ServiceState>,
     groups: HashMap<RootGroup, GroupDemand>,
-    costs: HashMap<Arc<str>, RouteCosts>,
+    pub(super) costs: HashMap<Arc<str>, RouteCosts>,
     /// Shares of the organisations by priority, while a service is short.
     shares: HashMap<u8, FairShare>,
     retries_per_request: f64,
@@ -227,41 +227,6 @@
         }
     }
 
-    /// The costs of the routes and the admitted fractions, for a daemon that has just started.
-    pub fn knowledge(&self) -> RootKnowledge {
-        let known = self.costs.iter();
-        let routes = known.filter_map(|(route, costs)| Some((route.clone(), costs.means()?)));
-        let fractions = self.reduced_fractions();
-        RootKnowledge {
-            routes: routes.collect(),
-            fractions: fractions.map(|(service, part)| (service.clone(), part as f32)).collect(),
-        }
-    }
-
-    /// Takes over what a peer knows, except of routes of which a root succeeded here. The demand
-    /// that is reported now is that after the fractions which the peers admit.
-    ///
-    /// ```
-    /// use lentilway::clock::MilliTime;
-    /// use lentilway::policy::root_admission::{RootAdmission, RootKnowledge};
-    /// let mut admission = RootAdmission::new(MilliTime(0), 0.2);
-    /// let fractions = vec![("stock".into(), 0.4)];
-    /// admission.learn(&RootKnowledge { routes: Vec::new(), fractions });
-    /// assert!((admission.admitted_fraction("stock") - 0.4).abs() < 1e-6);
-    /// ```
-    pub fn learn(&mut self, knowledge: &RootKnowledge) {
-        for (route, costs) in &knowledge.routes {
-            let known = self.costs.entry(route.clone()).or_default();
-            if !known.has_succeeded() {
-                *known = RouteCosts::default();
-                known.observe(costs, true);
-            }
-        }
-        for (service, fraction) in &knowledge.fractions {
-            self.services.entry(service.clone()).or_default().learn(f64::from(*fraction));
-        }
-    }
-
     /// Admits or refuses an arriving root, by `draw` from 0 to 1; roots with a low draw should also
     /// be preferred where their calls arrive. `is_retry` is set for a caller that was refused
     /// before.
@@ -327,6 +292,14 @@
         }
     }
 
+    /// The fraction of the roots of a group that is admitted.
+    pub fn group_fraction(&self, group: &RootGroup, is_retry: bool) -> f64 {
+        self.groups.get(group).map_or(1.0, |demand| {
+            let flow = if is_retry { &demand.retries } else { &demand.first_attempts };
+            flow.fraction
+        })
+    }
+
     /// The fraction of the demand for `service` that is admitted.
     pub fn admitted_fraction(&self, service: &str) -> f64 {
         self.services.get(service).map_or(1.0, |state| state.fraction)
@@ -366,7 +339,7 @@
 }
 
 impl ServiceState {
-    fn learn(&mut self, fraction: f64) {
+    pub(super) fn learn(&mut self, fraction: f64) {
         // A broken message must not close a service.
         let fraction = if fraction.is_finite() { fraction.clamp(FRACTION_MIN, 1.0) } else { 1.0 };
         self.fraction = fraction;
--- a/src/policy/root_costs.rs
+++ b/src/policy/root_costs.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use super::moving_average::SampleAverage;
+use super::root_admission::RootAdmission;
 
 /// Weight of one root in the mean cost of its group.
 const COST_SAMPLE_WEIGHT: f64 = 0.05;
@@ -151,3 +152,40 @@
         self.has_succeeded
     }
 }
+
+impl RootAdmission {
+    /// The costs of the routes and the admitted fractions, for a daemon that has just started.
+    pub fn knowledge(&self) -> RootKnowledge {
+        let known = self.costs.iter();
+        let routes = known.filter_map(|(route, costs)| Some((route.clone(), costs.means()?)));
+        let fractions = self.reduced_fractions();
+        RootKnowledge {
+            routes: routes.collect(),
+            fractions: fractions.map(|(service, part)| (service.clone(), part as f32)).collect(),
+        }
+    }
+
+    /// Takes over what a peer knows, except of routes of which a root succeeded here. The demand
+    /// that is reported now is that after the fractions which the peers admit.
+    ///
+    /// ```
+    /// use lentilway::clock::MilliTime;
+    /// use lentilway::policy::root_admission::{RootAdmission, RootKnowledge};
+    /// let mut admission = RootAdmission::new(MilliTime(0), 0.2);
+    /// let fractions = vec![("stock".into(), 0.4)];
+    /// admission.learn(&RootKnowledge { routes: Vec::new(), fractions });
+    /// assert!((admission.admitted_fraction("stock") - 0.4).abs() < 1e-6);
+    /// ```
+    pub fn learn(&mut self, knowledge: &RootKnowledge) {
+        for (route, costs) in &knowledge.routes {
+            let known = self.costs.entry(route.clone()).or_default();
+            if !known.has_succeeded() {
+                *known = RouteCosts::default();
+                known.observe(costs, true);
+            }
+        }
+        for (service, fraction) in &knowledge.fractions {
+            self.services.entry(service.clone()).or_default().learn(f64::from(*fraction));
+        }
+    }
+}
--- a/src/policy/token_priority.rs
+++ b/src/policy/token_priority.rs
@@ -65,7 +65,7 @@
 pub struct UrgencyCount {
     /// The urgency.
     pub urgency: TokenUrgency,
-    /// The number of requests.
+    /// The number of tokens that they are expected to keep.
     pub requests: f32,
 }
 
@@ -114,7 +114,8 @@
         TokenScarcity { arrived, counted_from: now, cutoff: None, short_at: None }
     }
 
-    /// Counts an arriving request; whether it may take a token, by `draw` from 0 to 1.
+    /// Counts an arriving request; whether it may take a token, by `draw` from 0 to 1. `demand` is the
+    /// probability (0 to 1) that it keeps the token: what a full service refuses returns it.
     ///
     /// ```
     /// use lentilway::clock::MilliTime;
@@ -122,26 +123,23 @@
     /// use lentilway::policy::token_priority::{TokenScarcity, TokenUrgency};
     /// let mut scarcity = TokenScarcity::new(MilliTime(0));
     /// let urgency = TokenUrgency::of(RequestRank::root(3), false);
-    /// assert!(scarcity.arrive(MilliTime(1), urgency, 0.99));
+    /// assert!(scarcity.arrive(MilliTime(1), urgency, 1.0, 0.99));
     /// ```
-    pub fn arrive(&mut self, now: MilliTime, urgency: TokenUrgency, draw: f64) -> bool {
+    pub fn arrive(
+        &mut self,
+        now: MilliTime,
+        urgency: TokenUrgency,
+        demand: f32,
+        draw: f64,
+    ) -> bool {
         if now.since(self.counted_from) > REPORT_SPAN_MAX {
             self.arrived.clear();
             self.counted_from = now;
         }
-        add_count(&mut self.arrived, UrgencyCount { urgency, requests: 1.0 });
+        add_count(&mut self.arrived, UrgencyCount { urgency, requests: demand });
         self.cutoff(now).is_none_or(|cutoff| cutoff.admits(urgency, draw))
     }
 
-    /// Takes back the arrival of a request that was refused for another reason than its rate, which is
-    /// no demand for tokens.
-    pub fn withdraw(&mut self, urgency: TokenUrgency) {
-        let known = self.arrived.iter_mut().find(|known| known.urgency == urgency);
-        if let Some(known) = known {
-            known.requests = (known.requests - 1.0).max(0.0);
-        }
-    }
-
     /// Records that a request found no token.
     pub fn record_short(&mut self, now: MilliTime) {
         self.short_at = Some(now);
--- a/src/sidecar/process/quota_table.rs
+++ b/src/sidecar/process/quota_table.rs
@@ -179,11 +179,12 @@
         shared: &SidecarShared,
         organisation: &FleetOrganisation,
         urgency: TokenUrgency,
+        demand: f32,
     ) -> Result<(), QuotaRefusal> {
         if organisation.rate.is_none() {
             return Ok(());
         }
-        let pool = match self.take(organisation, urgency) {
+        let pool = match self.take(organisation, urgency, demand) {
             TokenStep::Admitted => return Ok(()),
             TokenStep::Refused(refusal) => return Err(refusal),
             TokenStep::Borrow(pool) => pool,
@@ -240,11 +241,10 @@
     }
 
     /// Returns the token of a request that was refused for another reason.
-    pub(crate) fn refund(&self, organisation: &FleetOrganisation, urgency: TokenUrgency) {
+    pub(crate) fn refund(&self, organisation: &FleetOrganisation) {
         let now = self.clock.now();
         if let Some(quota) = self.lock().quotas.get_mut(&organisation.name) {
             quota.share.refund(now);
-            quota.scarcity.withdraw(urgency);
         }
     }
 
@@ -320,13 +320,18 @@
     }
 
     /// Takes a token, unless those left are for more urgent requests.
-    fn take(&self, organisation: &FleetOrganisation, urgency: TokenUrgency) -> TokenStep {
+    fn take(
+        &self,
+        organisation: &FleetOrganisation,
+        urgency: TokenUrgency,
+        demand: f32,
+    ) -> TokenStep {
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(quota) = state.quotas.get_mut(&organisation.name) else {
             return TokenStep::Refused(QuotaRefusal { tokens_in: None, is_cut_off: false });
         };
-        let is_passed = quota.scarcity.arrive(now, urgency, rand::random::<f64>());
+        let is_passed = quota.scarcity.arrive(now, urgency, demand, rand::random::<f64>());
         if is_passed && quota.share.take(now) {
             return TokenStep::Admitted;
         }
--- a/src/sidecar/request/root_entry.rs
+++ b/src/sidecar/request/root_entry.rs
@@ -26,7 +26,8 @@
     identified: &IdentifiedRequest,
 ) -> Result<(), RequestRefusal> {
     let urgency = TokenUrgency::of(identified.rank, identified.is_retry);
-    let Err(refused) = shared.quota.admit(shared, organisation, urgency).await else {
+    let demand = token_demand(shared, identified);
+    let Err(refused) = shared.quota.admit(shared, organisation, urgency, demand).await else {
         return Ok(());
     };
     shared.metrics.count(match refused.is_cut_off {
@@ -43,6 +44,19 @@
     Err(refusal.retry_after(delay))
 }
 
+/// The probability that a root keeps its token: one that is refused for another reason returns it.
+fn token_demand(shared: &SidecarShared, identified: &IdentifiedRequest) -> f32 {
+    let is_failing = !identified.is_retry && {
+        let mut success = shared.route_success.lock().expect("lock not poisoned");
+        success.refuse(shared.clock.now(), &identified.route.name, 1.0).is_some()
+    };
+    if is_failing {
+        return 0.0;
+    }
+    let admission = shared.root_admission.lock().expect("lock not poisoned");
+    admission.group_fraction(&root_group(identified), identified.is_retry) as f32
+}
+
 /// Admits a root if recent runs of its route succeeded and the services it calls have capacity;
 /// returns whether it is entitled to retries that are short.
 pub(super) fn admit_root(
@@ -113,8 +127,7 @@
     capacity_in: Option<Duration>,
 ) -> RequestRefusal {
     if let Some(organisation) = &identified.organisation {
-        let urgency = TokenUrgency::of(identified.rank, identified.is_retry);
-        shared.quota.refund(organisation, urgency);
+        shared.quota.refund(organisation);
     }
     let refusal = RequestRefusal::new(ResultCode::Overloaded, reason);
     refusal.retry_after(caller_retry_delay(shared, identified, capacity_in))
--- a/tests/suite/policy/token_surge.rs
+++ b/tests/suite/policy/token_surge.rs
@@ -273,7 +273,7 @@
         let index = alive[self.random.random_range(0..alive.len())];
         let entry = &mut self.entries[index];
         let draw = self.random.random::<f64>();
-        if self.has_priority && !entry.scarcity.arrive(now, attempt.urgency(), draw) {
+        if self.has_priority && !entry.scarcity.arrive(now, attempt.urgency(), 1.0, draw) {
             return self.refuse(at, index, attempt);
         }
         if entry.share.take(now) {
@@ -443,24 +443,23 @@
     let cutoff = TokenCutoff { urgency, fraction: 0.0, wait_millis: 100, later_millis: 100 };
     let mut scarcity = TokenScarcity::new(MilliTime(0));
     scarcity.set_cutoff(MilliTime(0), Some(cutoff));
-    expect_that!(scarcity.arrive(MilliTime(500), urgency, 0.5), eq(false));
+    expect_that!(scarcity.arrive(MilliTime(500), urgency, 1.0, 0.5), eq(false));
     expect_that!(scarcity.report(MilliTime(500)), some(len(eq(1))));
-    expect_that!(scarcity.arrive(MilliTime(1_500), urgency, 0.5), eq(true));
+    expect_that!(scarcity.arrive(MilliTime(1_500), urgency, 1.0, 0.5), eq(true));
     expect_that!(scarcity.report(MilliTime(1_500)), none());
 }
 
 /// Urgent requests that a full service refuses took the tokens of the others: the pool counted them
 /// as demand, and refused less urgent requests for them.
 #[gtest]
-fn withdraw_refused_for_capacity() -> googletest::Result<()> {
+fn arrive_refused_for_capacity() -> googletest::Result<()> {
     let now = MilliTime(100);
     let [urgent, other] =
         [0, 4].map(|priority| TokenUrgency::of(RequestRank::root(priority), false));
     let mut scarcity = TokenScarcity::new(now);
     for _ in 0..20 {
-        scarcity.arrive(now, urgent, 0.5);
-        scarcity.arrive(now, other, 0.5);
-        scarcity.withdraw(urgent);
+        scarcity.arrive(now, urgent, 0.0, 0.5);
+        scarcity.arrive(now, other, 1.0, 0.5);
     }
     scarcity.record_short(now);
     let mut ledger = DemandLedger::default();
