A slow route leaves the others their shares of the start window

Cause: roots of one route whose answers take long filled the window of a daemon that has just started, and roots of other routes were refused.

--- a/src/policy/start_pace.rs
+++ b/src/policy/start_pace.rs
@@ -145,11 +145,13 @@
             return true;
         }
         state.end_round(now);
+        let RoutePace { in_flight, is_apart, .. } = *state.routes.entry(route.clone()).or_default();
+        let in_flight = f64::from(in_flight);
+        // A route with slow answers may fill the window, but not the equal shares of the others.
+        let share = state.window / state.routes.len() as f64;
+        let has_room = f64::from(state.in_flight) < state.window || in_flight < share;
+        let is_admitted = if is_apart { in_flight < WINDOW_MIN } else { has_room };
         let known = state.routes.entry(route.clone()).or_default();
-        let is_admitted = match known.is_apart {
-            true => f64::from(known.in_flight) < WINDOW_MIN,
-            false => f64::from(state.in_flight) < state.window,
-        };
         known.in_flight += u32::from(is_admitted);
         if !known.is_apart {
             state.in_flight += u32::from(is_admitted);
--- a/tests/suite/policy/fleet_start.rs
+++ b/tests/suite/policy/fleet_start.rs
@@ -396,3 +396,16 @@
     expect_that!(taught, le(last * 12 / 10));
     expect_that!(fresh, gt(last * 2));
 }
+
+/// One route with slow answers filled the window, and roots of the others were refused.
+#[gtest]
+fn admit_slow_route_leaves_shares() {
+    let mut pace = StartPace::default();
+    let count = |pace: &mut StartPace, route: &str| {
+        let route = route.into();
+        (0..100).filter(|_| pace.admit(MilliTime(5), &route)).count()
+    };
+    expect_that!(count(&mut pace, "slow"), eq(24));
+    expect_that!(count(&mut pace, "usual"), eq(12));
+    expect_that!(count(&mut pace, "slow"), eq(0));
+}
