Take HTTP/1.1 alone from callers

Seen by callers: a crowd that opens HTTP/2 streams took the process far over the memory of its machine, and ordinary requests got no answer.

Cause: the listener took either protocol. The memory budget and the watch of a connection assume one request at a time: heads of open streams were in no lease, answers on streams without a window never blocked the socket, and a byte on any stream kept the whole connection.

Counting streams, heads, windows and buffers would add limits of their own for nobody. A connection that begins with the preface of HTTP/2 is closed before a request is read, which promises nothing and needs no answer.

--- a/src/connection/listener.rs
+++ b/src/connection/listener.rs
@@ -27,8 +27,6 @@
 pub const CONNECTIONS_LIMIT: usize = 20_000;
 
 pub(crate) const READ_BUFFER_BYTES: usize = 64 * 1024;
-/// The least that the library allows.
-const READ_BUFFER_BYTES_MIN: usize = 8 * 1024;
 const STREAMS_LIMIT: u32 = 1024;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -62,8 +60,6 @@
     /// Time after the stop signal during which requests are still answered, so that a request in
     /// transit does not meet a closed connection.
     pub drain_time: Duration,
-    /// Maximum size of a request's head; `None` for the size of the read buffer.
-    pub head_bytes: Option<usize>,
 }
 
 /// Serves plaintext HTTP connections with `handler` until `stop` is raised and all have ended.
@@ -145,7 +141,8 @@
     let _ = connection.await;
 }
 
-fn add_close(mut answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+/// Announces that the connection closes after this answer.
+pub(crate) fn add_close(mut answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -153,17 +150,16 @@
 }
 
 fn http_builder(times: ConnectionTimeouts) -> Builder<TokioExecutor> {
-    let head_bytes = times.head_bytes.unwrap_or(READ_BUFFER_BYTES);
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(times.head_timeout)
-        .max_buf_size(head_bytes.clamp(READ_BUFFER_BYTES_MIN, READ_BUFFER_BYTES));
+        .max_buf_size(READ_BUFFER_BYTES);
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(head_bytes as u32)
+        .max_header_list_size(READ_BUFFER_BYTES as u32)
         .max_concurrent_streams(STREAMS_LIMIT);
     builder
 }
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -224,7 +224,7 @@
 
 fn connection_times(shared: &DaemonShared) -> ConnectionTimeouts {
     let head_timeout = shared.config.limits.head_timeout;
-    ConnectionTimeouts { head_timeout, drain_time: shared.config.drain.linger, head_bytes: None }
+    ConnectionTimeouts { head_timeout, drain_time: shared.config.drain.linger }
 }
 
 fn start_callers(shared: &Arc<DaemonShared>, listener: TcpListener) -> JoinHandle<()> {
--- a/src/sidecar/connection/caller_listener.rs
+++ b/src/sidecar/connection/caller_listener.rs
@@ -4,14 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use futures_util::FutureExt;
-use hyper::Version;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
 use super::caller_watch::{CallerTimes, CallerWatch, WatchedStream};
-use crate::connection::listener::{
-    CONNECTIONS_LIMIT, ConnectionTimeouts, READ_BUFFER_BYTES, accept, serve_connection,
-};
+use super::http1_connection::{HeadLimits, serve_http1};
+use crate::connection::listener::{CONNECTIONS_LIMIT, READ_BUFFER_BYTES, accept};
 use crate::process::stop::StopSignal;
 use crate::sidecar::process::decision_log::LineCategory;
 use crate::sidecar::process::memory_budget::{MemoryHolder, MemoryLease};
@@ -92,16 +90,15 @@
     let limits = shared.config().map(|config| config.limits).unwrap_or_default();
     let times =
         CallerTimes { head_timeout: limits.head_timeout, idle_timeout: limits.idle_timeout };
-    let timeouts = ConnectionTimeouts {
+    let head_limits = HeadLimits {
+        bytes: limits.header_bytes + HEAD_MARGIN_BYTES,
         // The watch tells a slow head from an idle connection, which the library does not.
-        head_timeout: limits.head_timeout + limits.idle_timeout,
-        head_bytes: Some(limits.header_bytes + HEAD_MARGIN_BYTES),
-        ..ConnectionTimeouts::default()
+        timeout: limits.head_timeout + limits.idle_timeout,
     };
     let watch = CallerWatch::new();
     let (state, requests) = (shared.clone(), watch.clone());
     let handler = move |request: hyper::Request<_>| {
-        let active = requests.begin_request(request.version() == Version::HTTP_2);
+        let active = requests.begin_request();
         let state = state.clone();
         async move {
             let _active = active;
@@ -110,7 +107,7 @@
     };
     let stream = WatchedStream::new(stream, watch.clone());
     tokio::select! {
-        () = serve_connection(stream, stop, timeouts, handler) => {}
+        () = serve_http1(stream, stop, head_limits, handler) => {}
         reason = watch.closing(times, &is_full) => count_connection(&shared, reason.name(), 1),
     }
 }
--- a/src/sidecar/connection/caller_watch.rs
+++ b/src/sidecar/connection/caller_watch.rs
@@ -59,7 +59,6 @@
     active: usize,
     /// Whether the last answer is not written yet.
     is_writing: bool,
-    is_http2: bool,
     idle_since: Instant,
     /// When the first byte of the next head came.
     head_since: Option<Instant>,
@@ -76,7 +75,6 @@
         CallerWatch(Arc::new(Mutex::new(CallerState {
             active: 0,
             is_writing: false,
-            is_http2: false,
             idle_since: Instant::now(),
             head_since: None,
             blocked: None,
@@ -88,10 +86,9 @@
     }
 
     /// The head of a request is complete; its handling lasts until the result is dropped.
-    pub(crate) fn begin_request(&self, is_http2: bool) -> ActiveRequest {
+    pub(crate) fn begin_request(&self) -> ActiveRequest {
         let mut state = self.lock();
         state.active += 1;
-        state.is_http2 = is_http2;
         state.head_since = None;
         ActiveRequest(self.clone())
     }
@@ -117,9 +114,7 @@
         if state.active > 0 || state.is_writing {
             return Ok(WATCH_INTERVAL);
         }
-        // Frames of HTTP/2 other than requests also begin with a first byte.
-        let head_since = state.head_since.filter(|_| !state.is_http2);
-        let (end, reason) = match head_since {
+        let (end, reason) = match state.head_since {
             Some(since) => (since + times.head_timeout, CloseReason::HeadTimeout),
             None if is_full => {
                 (state.idle_since + times.idle_timeout / IDLE_DIVISOR_FULL, CloseReason::Idle)
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod caller_listener;
 mod caller_watch;
 pub(crate) mod frame;
+mod http1_connection;
 pub(crate) mod metered_stream;
 pub(crate) mod peer_link;
 pub(crate) mod peer_server;
--- a/tests/suite/sidecar/untrusted.rs
+++ b/tests/suite/sidecar/untrusted.rs
@@ -1,6 +1,8 @@
 //! Crowds of callers that read slowly, send heads, lines or bodies without end or keep connections
 //! open, against daemon processes with lowered limits.
 
+mod http2;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,13 +58,13 @@
 /// What a caller sends once, then again and again, and how much it reads at a time.
 #[derive(Clone)]
 struct CrowdCaller {
-    first: Vec<u8>,
-    repeated: Vec<u8>,
+    first: Bytes,
+    repeated: Bytes,
     read_bytes: usize,
 }
 
 impl CrowdCaller {
-    fn sending(first: impl Into<Vec<u8>>, repeated: impl Into<Vec<u8>>) -> Self {
+    fn sending(first: impl Into<Bytes>, repeated: impl Into<Bytes>) -> Self {
         CrowdCaller { first: first.into(), repeated: repeated.into(), read_bytes: 0 }
     }
 
@@ -295,11 +297,11 @@
             let line = format!("x-long: {}\r\n", "a".repeat(LONG_HEAD_BYTES));
             let whole = head("GET", "/near/1", &line);
             // All but the empty line that ends the head.
-            CrowdCaller::sending(&whole.as_bytes()[..whole.len() - 2], "x-more: a\r\n")
+            CrowdCaller::sending(whole[..whole.len() - 2].to_owned(), "x-more: a\r\n")
         }
         _ => {
             let whole = head("GET", "/near/1", "");
-            CrowdCaller::sending(&whole.as_bytes()[..whole.len() - 2], "x-more: a\r\n")
+            CrowdCaller::sending(whole[..whole.len() - 2].to_owned(), "x-more: a\r\n")
         }
     };
     face_crowd((0..CROWD).map(caller).collect(), Duration::ZERO).await;
