Limit connections for readiness, announcements and metrics

Seen: connections left open on the addresses for readiness, announcements and metrics took more descriptors than the process has, those of callers, of the backend server and of other daemons among them.

Cause: only callers' connections had a limit by max_fds. The other listeners took up to 20,000 connections and let each of them stay idle, or take as long over a head, for 120 s; the body of an announcement had no time at all.

Each of the three now has a share of max_fds. A new connection is always accepted and the least recent one of its standing closed for it, so that the platform, operators and the backend server never wait behind strangers in the system's queue: a request that comes at once is answered at once, and a connection that has had one answered keeps its place before those that have not. Heads have 3 s from their first byte, as has the body of an announcement.

--- /dev/null
+++ b/src/policy/descriptor_share.rs
@@ -0,0 +1,40 @@
+//! Shares of a process's descriptors for the connections that others open to it.
+//!
+//! Handles crowds of connections on any of the listeners: each listener has a share of its own, so
+//! that none of them takes the descriptors of the others, of the connections to the backend server,
+//! or of those to other daemons and to the store.
+
+use super::connection_roster::RosterLimits;
+
+/// Whom connections serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DescriptorUse {
+    /// Other daemons. Those that the directory lists are not counted.
+    Links,
+    /// One of the addresses for readiness, announcements and metrics.
+    Service,
+}
+
+const LINKS_DIVISOR: usize = 8;
+const SERVICE_DIVISOR: usize = 64;
+/// The least for a use: the peer that it is for, one that takes its place, and others beside them.
+const CONNECTIONS_MIN: usize = 4;
+
+/// The connections that others may have. Half of them are for those that have shown nothing yet.
+///
+/// ```
+/// use lentilway::policy::connection_roster::RosterLimits;
+/// use lentilway::policy::descriptor_share::{DescriptorUse, roster_limits};
+/// let limits = roster_limits(4_100, DescriptorUse::Links);
+/// assert_eq!(limits, RosterLimits { new: 256, proven: 256 });
+/// let limits = roster_limits(256, DescriptorUse::Service);
+/// assert_eq!(limits, RosterLimits { new: 2, proven: 2 });
+/// ```
+pub fn roster_limits(descriptors: usize, usage: DescriptorUse) -> RosterLimits {
+    let divisor = match usage {
+        DescriptorUse::Links => LINKS_DIVISOR,
+        DescriptorUse::Service => SERVICE_DIVISOR,
+    };
+    let half = (descriptors / divisor).max(CONNECTIONS_MIN) / 2;
+    RosterLimits { new: half, proven: half }
+}
--- a/src/sidecar/connection/caller_listener.rs
+++ b/src/sidecar/connection/caller_listener.rs
@@ -113,7 +113,7 @@
 }
 
 /// Counts connections that are closed or wait, with a line of the log within its bound per second.
-fn count_connection(shared: &SidecarShared, reason: &'static str, connections: usize) {
+pub(super) fn count_connection(shared: &SidecarShared, reason: &'static str, connections: usize) {
     shared.metrics.connection_limited(reason);
     if reason != "idle" {
         let line = ConnectionLine { reason, connections };
--- a/src/sidecar/process/backend_watch.rs
+++ b/src/sidecar/process/backend_watch.rs
@@ -25,6 +25,8 @@
 use crate::sidecar::connection::frame::PeerMessage;
 
 const ANNOUNCEMENT_BYTES_MAX: usize = 64 * 1024;
+/// From the end of an announcement's head to that of its body.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A backend server without a heartbeat for this long is considered crashed: two heartbeats, with
 /// their usual delay, are missing.
 const HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(4_500);
@@ -215,9 +217,11 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, ANNOUNCEMENT_BYTES_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return refuse(&shared, error.to_string()),
+    let received = Limited::new(body, ANNOUNCEMENT_BYTES_MAX).collect();
+    let body = match timeout(ANNOUNCEMENT_TIMEOUT, received).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return refuse(&shared, error.to_string()),
+        Err(_) => return refuse(&shared, "the body did not arrive in time".to_owned()),
     };
     match shared.dialect.announcement(&parts.method, parts.uri.path(), &body) {
         None => answer(StatusCode::NOT_FOUND, ""),
--- a/src/sidecar/process/sidecar_daemon.rs
+++ b/src/sidecar/process/sidecar_daemon.rs
@@ -25,14 +25,13 @@
 use super::token_exchange::exchange_tokens;
 use super::wire_dialect::WireDialect;
 use crate::clock::{MilliClock, MilliTime};
-use crate::connection::listener::{ConnectionTimeouts, bind, serve_http};
+use crate::connection::listener::bind;
 use crate::error::DaemonError;
 use crate::process::stop::StopSignal;
 use crate::sidecar::connection::caller_listener::serve_callers;
 use crate::sidecar::connection::peer_server::serve_peers;
+use crate::sidecar::connection::service_listener::serve_service;
 
-/// Idle timeout of the other listeners' connections.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 const RUNS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the last answers to reach the daemons that called.
 const ANSWER_FLUSH_SPAN: Duration = Duration::from_millis(100);
@@ -191,11 +190,6 @@
     tokio::spawn(serve_callers(shared.clone(), listener, stop.clone()))
 }
 
-/// Timeouts of a listener that stops after everything else and so needs no drain time.
-fn connection_timeouts() -> ConnectionTimeouts {
-    ConnectionTimeouts { head_timeout: IDLE_TIMEOUT, ..ConnectionTimeouts::default() }
-}
-
 fn start_announcements(
     shared: &Arc<SidecarShared>,
     listener: TcpListener,
@@ -203,7 +197,7 @@
 ) -> JoinHandle<()> {
     let state = shared.clone();
     let handler = move |request| serve_announcement(state.clone(), request);
-    tokio::spawn(serve_http(listener, stop.clone(), connection_timeouts(), handler))
+    tokio::spawn(serve_service(shared.clone(), listener, stop.clone(), handler))
 }
 
 fn start_ready(
@@ -221,7 +215,7 @@
         };
         std::future::ready(plain_response(status, String::new()))
     };
-    tokio::spawn(serve_http(listener, stop.clone(), connection_timeouts(), handler))
+    tokio::spawn(serve_service(shared.clone(), listener, stop.clone(), handler))
 }
 
 fn start_metrics(
@@ -239,7 +233,7 @@
         }
         std::future::ready(plain_response(StatusCode::OK, state.metrics.text()))
     };
-    tokio::spawn(serve_http(listener, stop.clone(), connection_timeouts(), handler))
+    tokio::spawn(serve_service(shared.clone(), listener, stop.clone(), handler))
 }
 
 fn plain_response(status: StatusCode, text: String) -> Response<Full<Bytes>> {
--- a/tests/suite/sidecar/untrusted.rs
+++ b/tests/suite/sidecar/untrusted.rs
@@ -2,6 +2,7 @@
 //! open, against daemon processes with lowered limits.
 
 mod http2;
+mod listeners;
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
