Limit links of daemons that the directory does not list

Seen: connections left open on the address for other daemons took more descriptors than the process has.

Cause: links had no limit. A link without a message ends after 2 s only, and one with keepalives never did.

Links now have a share of max_fds, half of it for those that have sent no message. The first keepalive of a link names the daemon that opened it; the links of daemons that the directory lists are not counted, so that the fleet is never kept out, at most two for each name. The name is the last field of a message that daemons of earlier releases read without it; their links count among the others, which a fleet of up to 256 of them (at 4,100 descriptors) does not exceed.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -46,8 +46,12 @@
 pub(crate) enum PeerMessage {
     /// Identifies the accepting daemon; the first message on a link.
     Hello { name: Arc<str>, service: Arc<str> },
-    /// Keepalive.
-    Alive,
+    /// Keepalive; the first one names the daemon that opened the link.
+    Alive {
+        /// Absent from messages of earlier releases.
+        #[serde(deserialize_with = "deserialize_last")]
+        name: Option<Arc<str>>,
+    },
     /// The load at the sender's backend server.
     Load(InstanceLoad),
     /// Requests a run at the receiver's backend server.
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -171,6 +171,7 @@
     let mut keepalive = interval(KEEPALIVE_INTERVAL);
     keepalive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut silence = std::pin::pin!(sleep(SILENCE_TIMEOUT));
+    let mut own_name = Some(shared.settings.name.clone());
     loop {
         tokio::select! {
             biased;
@@ -188,7 +189,7 @@
                 }
                 Err(error) => return error,
             },
-            _ = keepalive.tick() => link.send(PeerMessage::Alive),
+            _ = keepalive.tick() => link.send(PeerMessage::Alive { name: own_name.take() }),
             // What is left unread for want of memory hides the messages behind it.
             () = &mut silence, if !reader.is_waiting() => return LinkError::Silent,
         }
@@ -245,7 +246,7 @@
         }
         PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
         PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
-        PeerMessage::Alive
+        PeerMessage::Alive { .. }
         | PeerMessage::Call(_)
         | PeerMessage::Cancel(_)
         | PeerMessage::Notice(_)
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -10,6 +10,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use super::caller_listener::count_connection;
+use super::connection_table::{ConnectionSeat, ConnectionTable};
 use super::frame::{
     FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage, ReadFrame,
     write_frames,
@@ -18,28 +20,71 @@
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::connection::listener::accept;
+use crate::policy::connection_roster::ConnectionStanding;
+use crate::policy::descriptor_share::{DescriptorUse, roster_limits};
 use crate::policy::root_admission::CostList;
 use crate::policy::store_position::StorePosition;
 use crate::policy::zone_evacuation::ZoneSet;
 use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::backend_watch::note_leaves;
 use crate::sidecar::process::notice_watch::learn_notice;
+use crate::sidecar::process::peer_table::instance_key;
 use crate::sidecar::process::sidecar_shared::{SidecarShared, StoreReports};
 use crate::sidecar::process::store_view::PositionSource;
 use crate::sidecar::request::context::{CallOutcome, NotRunCause};
 
-/// Accepts links from other daemons until the task is aborted.
+/// Accepts links from other daemons until the task is aborted. Those of daemons that the directory
+/// lists keep their places before others.
 pub(crate) async fn serve_peers(shared: Arc<SidecarShared>, listener: TcpListener) {
+    let limits = roster_limits(shared.settings.descriptors_max, DescriptorUse::Links);
+    let table = ConnectionTable::new(limits);
     // Dropping the set closes the links.
     let mut links = JoinSet::new();
     loop {
         tokio::select! {
-            stream = accept(&listener) => drop(links.spawn(serve_link(shared.clone(), stream))),
+            stream = accept(&listener) => {
+                let serve = |seat| links.spawn(serve_link(shared.clone(), stream, seat));
+                if table.admit(serve).await {
+                    count_connection(&shared, "link-evicted", 1);
+                }
+            }
             Some(_) = links.join_next() => {}
         }
     }
 }
 
+/// What is known of the daemon that opened a link.
+struct LinkOpener {
+    seat: ConnectionSeat,
+    standing: ConnectionStanding,
+    /// The key of the name that it stated.
+    key: Option<u64>,
+}
+
+impl LinkOpener {
+    fn new(seat: ConnectionSeat) -> Self {
+        LinkOpener { seat, standing: ConnectionStanding::New, key: None }
+    }
+
+    /// Takes note of a message. A daemon may be listed some time after it has stated its name.
+    fn observe(&mut self, shared: &SidecarShared, message: &PeerMessage) {
+        if let PeerMessage::Alive { name: Some(name) } = message {
+            self.key = Some(instance_key(name));
+        }
+        let listed = match self.standing {
+            ConnectionStanding::Listed(_) => return,
+            _ => self.key.filter(|key| shared.peers.is_listed(*key)),
+        };
+        let standing = listed.map_or(ConnectionStanding::Proven, ConnectionStanding::Listed);
+        if standing != self.standing {
+            self.standing = standing;
+            if self.seat.promote(standing) {
+                count_connection(shared, "link-evicted", 1);
+            }
+        }
+    }
+}
+
 /// Running calls of one link, aborted when the link closes.
 #[derive(Default)]
 struct LinkCalls {
@@ -106,14 +151,14 @@
     }
 }
 
-async fn serve_link(shared: Arc<SidecarShared>, stream: TcpStream) {
+async fn serve_link(shared: Arc<SidecarShared>, stream: TcpStream, seat: ConnectionSeat) {
     let (read_half, write_half) = stream.into_split();
     let (sender, queue) = mpsc::unbounded_channel();
     let mut reader = FrameReader::new(read_half, shared.memory.clone());
     // The daemon that opened the link logs why it ended.
     tokio::select! {
         _ = write_frames(write_half, queue) => {}
-        _ = read_calls(&shared, &mut reader, sender) => {}
+        _ = read_calls(&shared, &mut reader, sender, LinkOpener::new(seat)) => {}
     }
 }
 
@@ -129,6 +174,7 @@
     shared: &Arc<SidecarShared>,
     reader: &mut FrameReader,
     sender: mpsc::UnboundedSender<PeerMessage>,
+    mut opener: LinkOpener,
 ) -> LinkError {
     let mut calls = LinkCalls::default();
     let (name, service) = (shared.settings.name.clone(), shared.settings.service.clone());
@@ -162,6 +208,7 @@
                     Err(error) => return error,
                 };
                 silence.as_mut().reset(tokio::time::Instant::now() + SILENCE_TIMEOUT);
+                opener.observe(shared, &message);
                 match message {
                     PeerMessage::Call(call) => {
                         let number = call.number;
@@ -220,7 +267,7 @@
                     PeerMessage::Crash(report) => shared.crash_watch.learn(shared, &report),
                     PeerMessage::Release(identity) => shared.crash_watch.release(shared, identity),
                     PeerMessage::Hello { .. }
-                    | PeerMessage::Alive
+                    | PeerMessage::Alive { .. }
                     | PeerMessage::Load(_)
                     | PeerMessage::Answer(_)
                     | PeerMessage::HoldLeaves { .. }
--- a/src/sidecar/process/peer_table.rs
+++ b/src/sidecar/process/peer_table.rs
@@ -231,6 +231,11 @@
         self.lock().planner.has_entries()
     }
 
+    /// Whether the directory lists another daemon with this key.
+    pub(crate) fn is_listed(&self, key: u64) -> bool {
+        self.lock().planner.entry(key).is_some()
+    }
+
     /// Opens and closes links so that they match the directory and the services in use; `connect`
     /// maintains the link to a new peer.
     pub(crate) fn refresh(&self, connect: impl Fn(Arc<PeerEntry>) -> JoinHandle<()>) {
--- a/tests/suite/sidecar/untrusted/listeners.rs
+++ b/tests/suite/sidecar/untrusted/listeners.rs
@@ -118,3 +118,24 @@
     let metrics = |plan: &DaemonPlan| SocketAddr::new(plan.outbound.ip(), plan.first_port + 1);
     CrowdedFleet::start(metrics, crowd).await.check_served().await;
 }
+
+/// A message between daemons: its length and its bytes.
+fn link_frame(message: &[u8]) -> Vec<u8> {
+    [&(message.len() as u32).to_be_bytes(), message].concat()
+}
+
+/// Guards against connections to the address for other daemons that use up the descriptors, or keep
+/// daemons out.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn links_bounded() {
+    let keepalive = link_frame(&[1]);
+    let caller = |number: usize| match number % 4 {
+        0 => CrowdCaller::sending("", ""),
+        1 => CrowdCaller::sending(60_000_u32.to_be_bytes().to_vec(), "a"),
+        2 => CrowdCaller::sending(keepalive.clone(), keepalive.clone()),
+        _ => CrowdCaller::sending("GET / HTTP/1.1\r\n\r\n", ""),
+    };
+    let crowd = (0..CROWD).map(caller).collect();
+    CrowdedFleet::start(|plan| plan.inbound, crowd).await.check_served().await;
+}
