Let other tasks run between the messages of a link

Seen by callers: while links send short messages without end, no ordinary request is answered.

Cause: the reader of a link parses all messages in its buffer, up to 2,000 short ones, without giving way, and the budget of the runtime counts only reads of the socket: 128 of them in a row.

Each message now takes part in that budget, so a link gives way after 128 messages at most.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
+use tokio::task::coop::consume_budget;
 use tokio::time::sleep;
 
 use crate::policy::backend_notice::KnownNotice;
@@ -277,6 +278,8 @@
 
     /// Reads the next message. Cancel-safe.
     pub(crate) async fn read(&mut self) -> Result<ReadFrame, LinkError> {
+        // A buffer may hold thousands of short messages: other tasks run between them.
+        consume_budget().await;
         loop {
             let skipped = self.skipped.min(self.buffer.len());
             self.buffer.advance(skipped);
--- a/tests/suite/sidecar/untrusted/listeners.rs
+++ b/tests/suite/sidecar/untrusted/listeners.rs
@@ -6,6 +6,10 @@
 
 use super::*;
 
+/// Links of a crowd that ask for records without end, and the questions of each part.
+const ASKING_LINKS: usize = 40;
+const ASKED_AT_ONCE: usize = 8_000;
+
 /// Two daemons with lowered limits, and a crowd that acts on one of their addresses.
 struct CrowdedFleet {
     store: StoreServer,
@@ -139,3 +143,17 @@
     let crowd = (0..CROWD).map(caller).collect();
     CrowdedFleet::start(|plan| plan.inbound, crowd).await.check_served().await;
 }
+
+/// Asks for records as a daemon that knows none, with the number 1.
+fn record_question() -> Vec<u8> {
+    link_frame(&[6, 1, 0, 0])
+}
+
+/// Guards against links whose short messages take all the time of the process.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn records_asked_without_end_spare_others() {
+    let caller = CrowdCaller::sending("", record_question().repeat(ASKED_AT_ONCE));
+    let crowd = vec![caller; ASKING_LINKS];
+    CrowdedFleet::start(|plan| plan.inbound, crowd).await.check_served().await;
+}
