Leave a link unread while its answers wait to be written

Seen: a peer that sends messages and reads no answers is kept for good, and the messages for it wait in memory without bound.

Cause: the queue of a link has no limit, its silence timeout looks at what is read only, and every question for records is answered in full.

The pressure goes one way only: the daemon that opened a link always reads, so two daemons cannot wait for each other. A question that comes within 20 ms of the last one is not answered, since its answer serves both.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -8,10 +8,10 @@
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
 use tokio::task::coop::consume_budget;
 use tokio::time::sleep;
 
+use super::link_queue::LinkReceiver;
 use crate::policy::backend_notice::KnownNotice;
 use crate::policy::body_limit::SMALL_BODY_BYTES;
 use crate::policy::crash_ledger::CrashReport;
@@ -380,11 +380,11 @@
 /// Writes queued messages in batches until the queue or the socket closes.
 pub(crate) async fn write_frames(
     mut socket: OwnedWriteHalf,
-    mut queue: mpsc::UnboundedReceiver<PeerMessage>,
+    mut queue: LinkReceiver,
 ) -> Result<(), LinkError> {
     let mut messages = Vec::with_capacity(MESSAGES_PER_WRITE);
     let mut buffer = Vec::new();
-    while queue.recv_many(&mut messages, MESSAGES_PER_WRITE).await > 0 {
+    while queue.take(&mut messages, MESSAGES_PER_WRITE).await > 0 {
         for message in messages.drain(..) {
             let body = message.long_body();
             let Some(position) = append_frame(&mut buffer, &message, body)? else {
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -7,6 +7,7 @@
 mod connection_table;
 pub(crate) mod frame;
 mod http1_connection;
+mod link_queue;
 pub(crate) mod metered_stream;
 pub(crate) mod peer_link;
 pub(crate) mod peer_server;
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use super::frame::{
     FrameReader, LinkError, PeerAnswer, PeerCall, PeerMessage, ReadFrame, write_frames,
 };
+use super::link_queue::{LinkSender, link_queue};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
 use crate::policy::answer_verdict::is_final_status;
@@ -30,7 +31,7 @@
 /// An open connection to another daemon.
 #[derive(Debug)]
 pub(crate) struct PeerLink {
-    sender: mpsc::UnboundedSender<PeerMessage>,
+    sender: LinkSender,
     pending: Mutex<HashMap<u64, oneshot::Sender<PeerAnswer>>>,
     next_number: AtomicU64,
     record_requests: Mutex<RecordRequests>,
@@ -61,7 +62,7 @@
 }
 
 impl PeerLink {
-    fn new(sender: mpsc::UnboundedSender<PeerMessage>) -> Self {
+    fn new(sender: LinkSender) -> Self {
         PeerLink {
             sender,
             pending: Mutex::default(),
@@ -150,7 +151,7 @@
         return LinkError::Socket { source };
     }
     let (read_half, write_half) = stream.into_split();
-    let (sender, queue) = mpsc::unbounded_channel();
+    let (sender, queue) = link_queue();
     let link = Arc::new(PeerLink::new(sender));
     let _open = OpenLink(link.clone());
     let writing = write_frames(write_half, queue);
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -16,6 +16,7 @@
     FrameReader, LinkError, OrganisationCutoff, PeerAnswer, PeerCall, PeerMessage, ReadFrame,
     write_frames,
 };
+use super::link_queue::{LinkSender, link_queue};
 use super::peer_link::{KEEPALIVE_INTERVAL, SILENCE_TIMEOUT};
 use super::record_request::RecordRequests;
 use crate::clock::MilliTime;
@@ -100,6 +101,8 @@
 /// Time after which a call that was refused for want of memory may find some.
 const MEMORY_RETRY_MILLIS: u32 = 500;
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Questions that come sooner after the last one are not answered: its answer serves them as well.
+const ASK_INTERVAL_MIN: Duration = Duration::from_millis(20);
 /// A daemon that asked for records gets changes unasked for this long.
 const FOLLOWER_SPAN: Duration = Duration::from_secs(3);
 
@@ -116,8 +119,13 @@
 }
 
 impl RecordFollower {
-    fn ask(&mut self, now: MilliTime) {
-        self.asked = Some(now);
+    /// Records a question; whether it is to be answered.
+    fn ask(&mut self, now: MilliTime) -> bool {
+        let is_due = self.asked.is_none_or(|asked| now.since(asked) >= ASK_INTERVAL_MIN);
+        if is_due {
+            self.asked = Some(now);
+        }
+        is_due
     }
 
     /// The answer to a follower that knows this version and the directory up to this position.
@@ -153,7 +161,7 @@
 
 async fn serve_link(shared: Arc<SidecarShared>, stream: TcpStream, seat: ConnectionSeat) {
     let (read_half, write_half) = stream.into_split();
-    let (sender, queue) = mpsc::unbounded_channel();
+    let (sender, queue) = link_queue();
     let mut reader = FrameReader::new(read_half, shared.memory.clone());
     // The daemon that opened the link logs why it ended.
     tokio::select! {
@@ -163,17 +171,23 @@
 }
 
 /// Sends cutoffs, if there are any; `false` if the link is closed.
-fn send_cutoffs(
-    sender: &mpsc::UnboundedSender<PeerMessage>,
-    cutoffs: Vec<OrganisationCutoff>,
-) -> bool {
+fn send_cutoffs(sender: &LinkSender, cutoffs: Vec<OrganisationCutoff>) -> bool {
     cutoffs.is_empty() || sender.send(PeerMessage::TokenCutoffs(cutoffs)).is_ok()
 }
 
+/// Reads the next message once there is room for what answers it. Cancel-safe.
+async fn read_with_room(
+    reader: &mut FrameReader,
+    sender: &LinkSender,
+) -> Result<ReadFrame, LinkError> {
+    sender.has_room().await;
+    reader.read().await
+}
+
 async fn read_calls(
     shared: &Arc<SidecarShared>,
     reader: &mut FrameReader,
-    sender: mpsc::UnboundedSender<PeerMessage>,
+    sender: LinkSender,
     mut opener: LinkOpener,
 ) -> LinkError {
     let mut calls = LinkCalls::default();
@@ -196,7 +210,7 @@
     loop {
         tokio::select! {
             biased;
-            message = reader.read() => {
+            message = read_with_room(reader, &sender) => {
                 let message = match message {
                     Ok(ReadFrame::Message(message)) => message,
                     Ok(ReadFrame::RefusedCall(number)) => {
@@ -248,7 +262,9 @@
                         }
                     }
                     PeerMessage::AskRecords { number, version, directory } => {
-                        follower.ask(shared.clock.now());
+                        if !follower.ask(shared.clock.now()) {
+                            continue;
+                        }
                         let reports = follower.reports(shared, Some(number), version, directory);
                         if sender.send(reports).is_err() {
                             return LinkError::Closed;
@@ -340,7 +356,7 @@
 async fn run_call(
     shared: Arc<SidecarShared>,
     call: Box<PeerCall>,
-    sender: mpsc::UnboundedSender<PeerMessage>,
+    sender: LinkSender,
     ended: mpsc::UnboundedSender<u64>,
 ) {
     let now = shared.clock.now();
--- a/tests/suite/sidecar/untrusted/listeners.rs
+++ b/tests/suite/sidecar/untrusted/listeners.rs
@@ -9,6 +9,8 @@
 /// Links of a crowd that ask for records without end, and the questions of each part.
 const ASKING_LINKS: usize = 40;
 const ASKED_AT_ONCE: usize = 8_000;
+/// A configuration that fills the buffers of a link with a few answers.
+const LONG_RECORD_BYTES: usize = 200 << 10;
 
 /// Two daemons with lowered limits, and a crowd that acts on one of their addresses.
 struct CrowdedFleet {
@@ -157,3 +159,25 @@
     let crowd = vec![caller; ASKING_LINKS];
     CrowdedFleet::start(|plan| plan.inbound, crowd).await.check_served().await;
 }
+
+/// Guards against messages that wait without bound for a link that is not read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_link_closed() {
+    let store = StoreServer::start((own_loopback(), 0).into()).await.unwrap();
+    let tenant = TenantPlan { name: "nord".to_owned(), keys: vec![KEY.to_owned()], rate: 0.0 };
+    let mut record = config_record(1, &[], &[tenant]);
+    record["resources"].as_array_mut().unwrap().push(json!({"entry_kind": "notes",
+        "metadata": {"name": "long"}, "spec": {"text": "a".repeat(LONG_RECORD_BYTES)}}));
+    store.write_config(&record);
+    let server = start_server().await;
+    let mut daemon = DaemonProcess::start_limited("far", "far", server, &store, &limits());
+    let ready = daemon.plan.ready;
+    wait_ok(|| Request::get(format!("http://{ready}{READY_PATH}")), String::new()).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let mut link = socket.connect(daemon.plan.inbound).await.unwrap();
+    let asked = async { while link.write_all(&record_question()).await.is_ok() {} };
+    timeout(Duration::from_secs(30), asked).await.expect("the daemon closes the link");
+    expect_that!(daemon.is_alive(), eq(true));
+}
