Accept callers for one request each while all connections are taken

Seen by callers: callers that send small bodies byte by byte keep all connections until the timeout of their route, and ordinary callers wait in the system's queue for longer than they have.

Cause: a caller that is within its times keeps its connection, and further ones were not accepted. Bodies up to 64 KiB have no bound but the timeout.

Of the 3/8 of max_fds for callers, 5/16 may now stay open between requests. While these are taken, further connections are accepted for one request each; of those that have not sent theirs whole, the oldest makes room for a new one. A request that has come whole is never given up. An ordinary caller, whose request comes with its connection, is so served at once, and sub-calls of the backend server, which use the same address, as well. Shorter times while all connections are taken were ruled out: callers within the limits of the configuration would meet them.

--- a/src/policy/descriptor_share.rs
+++ b/src/policy/descriptor_share.rs
@@ -15,11 +15,41 @@
     Service,
 }
 
+/// Part of the descriptors for callers. The rest must do for the backend server, to which each caller
+/// may occupy a connection, and for everything else.
+const CALLERS_SHARE: (usize, usize) = (5, 16);
+/// Part of the descriptors for callers that come while these are taken.
+const RESERVE_DIVISOR: usize = 16;
 const LINKS_DIVISOR: usize = 8;
 const SERVICE_DIVISOR: usize = 64;
 /// The least for a use: the peer that it is for, one that takes its place, and others beside them.
 const CONNECTIONS_MIN: usize = 4;
 
+/// Numbers of callers' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Those that may stay open between requests.
+    pub kept: usize,
+    /// Those that are accepted besides, for one request each, and have not sent it whole.
+    pub receiving: usize,
+    /// Those that have.
+    pub handled: usize,
+}
+
+/// The connections that callers may have.
+///
+/// ```
+/// use lentilway::policy::descriptor_share::{CallerLimits, caller_limits};
+/// let limits = caller_limits(4_100);
+/// assert_eq!(limits, CallerLimits { kept: 1_281, receiving: 128, handled: 128 });
+/// ```
+pub fn caller_limits(descriptors: usize) -> CallerLimits {
+    let (part, whole) = CALLERS_SHARE;
+    let reserve = (descriptors / RESERVE_DIVISOR).max(CONNECTIONS_MIN) / 2;
+    let kept = (descriptors * part / whole).max(1);
+    CallerLimits { kept, receiving: reserve, handled: reserve }
+}
+
 /// The connections that others may have. Half of them are for those that have shown nothing yet.
 ///
 /// ```
--- a/src/sidecar/connection/caller_listener.rs
+++ b/src/sidecar/connection/caller_listener.rs
@@ -8,17 +8,17 @@
 use tokio::task::JoinSet;
 
 use super::caller_watch::{CallerTimes, CallerWatch, WatchedStream};
+use super::connection_table::{ConnectionSeat, ConnectionTable};
 use super::http1_connection::{HeadLimits, serve_http1};
-use crate::connection::listener::{CONNECTIONS_LIMIT, READ_BUFFER_BYTES, accept};
+use crate::connection::listener::{CONNECTIONS_LIMIT, READ_BUFFER_BYTES, accept, add_close};
+use crate::policy::connection_roster::{ConnectionStanding, RosterLimits};
+use crate::policy::descriptor_share::caller_limits;
 use crate::process::stop::StopSignal;
 use crate::sidecar::process::decision_log::LineCategory;
 use crate::sidecar::process::memory_budget::{MemoryHolder, MemoryLease};
 use crate::sidecar::process::sidecar_shared::SidecarShared;
 use crate::sidecar::request::handler::serve_request;
 
-/// Part of the process's descriptors for callers' connections. The rest is for connections to the
-/// backend server, of which each caller may occupy one, to other daemons and to the store.
-const DESCRIPTORS_SHARE: (usize, usize) = (3, 8);
 /// Memory of a connection without its read buffer.
 const CONNECTION_BYTES: usize = 8 * 1024;
 /// What may be read beyond the configured size of a head: the request line and separators.
@@ -30,37 +30,49 @@
     connections: usize,
 }
 
-/// Serves callers until `stop` is raised and all connections have ended.
+/// Serves callers until `stop` is raised and all connections have ended. While callers keep all the
+/// connections that they may, others are accepted for one request each, so that those that send
+/// theirs at once are served.
 pub(crate) async fn serve_callers(
     shared: Arc<SidecarShared>,
     listener: TcpListener,
     stop: StopSignal,
 ) {
-    let (part, whole) = DESCRIPTORS_SHARE;
-    let limit = (shared.settings.descriptors_max * part / whole).clamp(1, CONNECTIONS_LIMIT);
+    let limits = caller_limits(shared.settings.descriptors_max);
+    let limit = limits.kept.min(CONNECTIONS_LIMIT);
     let is_full = Arc::new(AtomicBool::new(false));
     let mut connections = JoinSet::new();
+    // A request that is handled is not given up for others.
+    let reserve = ConnectionTable::new(RosterLimits { new: limits.receiving, proven: usize::MAX });
+    let mut reserved = JoinSet::new();
     loop {
-        is_full.store(connections.len() >= limit, Ordering::Relaxed);
-        if connections.len() >= limit {
-            count_connection(&shared, "too-many", connections.len());
-        }
+        let has_place = connections.len() < limit;
+        is_full.store(!has_place, Ordering::Relaxed);
+        let has_reserve = reserve.count(ConnectionStanding::Proven) < limits.handled;
         tokio::select! {
-            (stream, lease) = accept_leased(&shared, &listener, &is_full), if connections.len() < limit => {
+            (stream, lease) = accept_leased(&shared, &listener, &is_full), if has_place || has_reserve => {
                 let caller = (stream, lease, is_full.clone());
-                connections.spawn(serve_caller(shared.clone(), caller, stop.clone()));
+                let serve = |seat| serve_caller(shared.clone(), caller, stop.clone(), seat);
+                if has_place {
+                    connections.spawn(serve(None));
+                } else {
+                    count_connection(&shared, "too-many", connections.len());
+                    reserve.admit(|seat| reserved.spawn(serve(Some(Arc::new(seat))))).await;
+                }
             }
             Some(_) = connections.join_next() => {}
+            Some(_) = reserved.join_next() => {}
             () = stop.raised() => break,
         }
     }
     // Otherwise connections left in the system's accept queue would be reset.
     while let Some((stream, lease)) = accept_leased(&shared, &listener, &is_full).now_or_never() {
         let caller = (stream, lease, is_full.clone());
-        connections.spawn(serve_caller(shared.clone(), caller, stop.clone()));
+        connections.spawn(serve_caller(shared.clone(), caller, stop.clone(), None));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
+    while reserved.join_next().await.is_some() {}
 }
 
 /// Accepts a connection for which there is memory; others wait in the system's queue.
@@ -86,6 +98,7 @@
     shared: Arc<SidecarShared>,
     (stream, _lease, is_full): (TcpStream, MemoryLease, Arc<AtomicBool>),
     stop: StopSignal,
+    seat: Option<Arc<ConnectionSeat>>,
 ) {
     let limits = shared.config().map(|config| config.limits).unwrap_or_default();
     let times =
@@ -97,12 +110,17 @@
     };
     let watch = CallerWatch::new();
     let (state, requests) = (shared.clone(), watch.clone());
-    let handler = move |request: hyper::Request<_>| {
+    let handler = move |mut request: hyper::Request<_>| {
         let active = requests.begin_request();
         let state = state.clone();
+        let is_last = seat.is_some();
+        if let Some(seat) = &seat {
+            request.extensions_mut().insert(seat.clone());
+        }
         async move {
             let _active = active;
-            serve_request(state, request).await
+            let answer = serve_request(state, request).await;
+            if is_last { add_close(answer) } else { answer }
         }
     };
     let stream = WatchedStream::new(stream, watch.clone());
--- a/src/sidecar/connection/connection_table.rs
+++ b/src/sidecar/connection/connection_table.rs
@@ -58,6 +58,11 @@
         }
         has_evicted
     }
+
+    /// The connections of this standing.
+    pub(crate) fn count(&self, standing: ConnectionStanding) -> usize {
+        self.lock().roster.count(standing)
+    }
 }
 
 impl TableState {
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -4,7 +4,7 @@
 pub(crate) mod backend_pool;
 pub(crate) mod caller_listener;
 mod caller_watch;
-mod connection_table;
+pub(crate) mod connection_table;
 pub(crate) mod frame;
 mod http1_connection;
 mod link_queue;
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -18,12 +18,14 @@
 use super::trace::RequestTrace;
 use crate::clock::MilliTime;
 use crate::error::ResultCode;
+use crate::policy::connection_roster::ConnectionStanding;
 use crate::policy::crash_ledger::RequestStanding;
 use crate::policy::region_rule::RegionRule;
 use crate::policy::request_identity::{RequestContents, RequestIdentity};
 use crate::policy::request_rank::RequestRank;
 use crate::request::header::{end_to_end, parse_number};
 use crate::sidecar::connection::backend_pool::header_pairs;
+use crate::sidecar::connection::connection_table::ConnectionSeat;
 use crate::sidecar::process::backend_admission::RunRecord;
 use crate::sidecar::process::backend_call::BackendCall;
 use crate::sidecar::process::memory_budget::BodyError;
@@ -98,6 +100,9 @@
     let body = received.unwrap_or_else(|_| {
         Err(RequestRefusal::new(ResultCode::DeadlineExpired, "the body did not arrive in time"))
     })?;
+    if let Some(seat) = parts.extensions.get::<Arc<ConnectionSeat>>() {
+        seat.promote(ConnectionStanding::Proven);
+    }
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let identity = RequestIdentity::of(&RequestContents {
         caller: trace.organisation.as_deref().unwrap_or(&shared.settings.service),
--- a/tests/suite/sidecar/untrusted.rs
+++ b/tests/suite/sidecar/untrusted.rs
@@ -3,6 +3,7 @@
 
 mod http2;
 mod listeners;
+mod slow_callers;
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -200,8 +201,13 @@
 /// Has a crowd, whose callers start with this gap, act on a daemon, and checks that both daemons
 /// outlive it within their limits.
 async fn face_crowd(crowd: Vec<CrowdCaller>, gap: Duration) {
+    face_crowd_within(2, crowd, gap).await;
+}
+
+/// The same with another timeout of the routes.
+async fn face_crowd_within(timeout_s: u64, crowd: Vec<CrowdCaller>, gap: Duration) {
     let store = StoreServer::start((own_loopback(), 0).into()).await.unwrap();
-    write_config(&store, 4 << 20, 2, 2);
+    write_config(&store, 4 << 20, timeout_s, 2);
     let limits = format!("memory_mb = {MEMORY_MB}\nmax_fds = {DESCRIPTORS_MAX}\n");
     let server = start_server().await;
     let mut entry = DaemonProcess::start_limited("entry", "near", server, &store, &limits);
