Read the rest of a refused body before the connection closes

Seen by callers: one that is refused while it sends a body sees its connection reset, not the refusal, and so not the promise that its request has not run. A caller whose request must not run twice cannot try again.

Cause: an answer that comes before the end of the request's body closes the connection, and closing one with unread bytes resets it. Callers that send their whole request before they read lose the answer.

The rest of the body is now read and dropped, kept in no memory, before the refusal is written: for 3 s at most, and only while it comes without a pause of 0.25 s, so that a caller that drips its body is refused as soon as before. A caller that expects 100-continue, and one whose body came too slowly, is answered at once.

--- a/src/sidecar/process/memory_budget.rs
+++ b/src/sidecar/process/memory_budget.rs
@@ -193,11 +193,11 @@
     /// [`BodyError`] if it is too large, does not fit, comes too slowly or does not end properly.
     pub(crate) async fn receive_request(
         self: &Arc<Self>,
-        mut body: Incoming,
+        body: &mut Incoming,
         bytes_max: usize,
         wait_max: Duration,
     ) -> Result<Bytes, BodyError> {
-        let announced = announced_bytes(&body, bytes_max)?;
+        let announced = announced_bytes(body, bytes_max)?;
         let begun = self.wait_lease(MemoryHolder::Requests, announced.unwrap_or(0));
         let mut lease = timeout(wait_max, begun).await.map_err(|_| BodyError::NoMemory)?;
         let mut collected = Collected::new(announced);
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -7,12 +7,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri};
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use super::context::{BackendAnswer, CallContext, ForwardRequest, NotRunCause, UnknownCause};
 use super::dispatch::{DispatchOutcome, RequestDispatch};
+use super::refused_body::discard_body;
 use super::response::{RequestRefusal, answer_response, refusal_response};
 use super::root_entry::{admit_paced, admit_root, caller_retry_delay, check_quota};
 use super::trace::RequestTrace;
@@ -48,7 +50,8 @@
     let id_header = &shared.dialect.headers().request_id;
     let id = request.headers().get(id_header).and_then(|id| id.to_str().ok()).unwrap_or("");
     let mut trace = RequestTrace::new(&shared, id.into());
-    let mut response = match handle(&shared, request, &mut trace).await {
+    let (parts, mut body) = request.into_parts();
+    let mut response = match handle(&shared, &parts, &mut body, &mut trace).await {
         Ok(answer) => {
             let outcome = if answer.is_success() { "served" } else { "answered" };
             trace.end(outcome, Some(answer.status), None);
@@ -60,6 +63,10 @@
         }
         Err(refusal) => {
             trace.end(refusal.code.execution().name(), None, Some(&refusal));
+            // A body that came too slowly has had its time.
+            if refusal.code != ResultCode::DeadlineExpired {
+                discard_body(&parts.headers, &mut body).await;
+            }
             refusal_response(&refusal)
         }
     };
@@ -82,7 +89,8 @@
 
 async fn handle(
     shared: &Arc<SidecarShared>,
-    request: Request<Incoming>,
+    parts: &Parts,
+    body: &mut Incoming,
     trace: &mut RequestTrace<'_>,
 ) -> Result<BackendAnswer, RequestRefusal> {
     if trace.request.is_empty() {
@@ -93,8 +101,7 @@
             .retry_after(STALE_RETRY_AFTER)
     })?;
     trace.version = config.version;
-    let identified = identify(shared, &config, &request, trace)?;
-    let (parts, body) = request.into_parts();
+    let identified = identify(shared, &config, parts, trace)?;
     let remaining = identified.deadline.until(shared.clock.now());
     let received = timeout(remaining, read_body(shared, body, config.limits.body_bytes)).await;
     let body = received.unwrap_or_else(|_| {
@@ -167,12 +174,12 @@
 fn identify(
     shared: &SidecarShared,
     config: &FleetConfig,
-    request: &Request<Incoming>,
+    parts: &Parts,
     trace: &mut RequestTrace<'_>,
 ) -> Result<IdentifiedRequest, RequestRefusal> {
     let names = shared.dialect.headers();
-    let host = request_host(request.headers(), request.uri());
-    let route = config.route(host, request.uri().path());
+    let host = request_host(&parts.headers, &parts.uri);
+    let route = config.route(host, parts.uri.path());
     let route = route.ok_or_else(|| match shared.has_fresh_config() {
         true => {
             let reason = format!("no matching route for host {host}");
@@ -181,13 +188,13 @@
         false => stale_refusal(),
     })?;
     trace.route = Some(route.name.clone());
-    let caller_timeout: Option<u64> = parse_number(request.headers(), &names.deadline_millis);
+    let caller_timeout: Option<u64> = parse_number(&parts.headers, &names.deadline_millis);
     let caller_timeout = caller_timeout.map_or(route.timeout, Duration::from_millis);
     trace.caller_timeout = Some(caller_timeout);
     let deadline = trace.started + caller_timeout.min(route.timeout);
     let organisation = match route.is_open {
         true => None,
-        false => Some(authenticate(shared, config, request.headers())?),
+        false => Some(authenticate(shared, config, &parts.headers)?),
     };
     trace.organisation = organisation.as_ref().map(|found| found.name.clone());
     let parent = match route.is_open {
@@ -258,7 +265,7 @@
 /// too large for the memory that is left now.
 async fn read_body(
     shared: &SidecarShared,
-    body: Incoming,
+    body: &mut Incoming,
     bytes_max: usize,
 ) -> Result<Bytes, RequestRefusal> {
     let received = shared.memory.receive_request(body, bytes_max, MEMORY_WAIT_MAX).await;
--- a/tests/suite/sidecar/untrusted/slow_callers.rs
+++ b/tests/suite/sidecar/untrusted/slow_callers.rs
@@ -9,6 +9,10 @@
 /// A timeout of routes longer than the wait of an ordinary caller.
 const LONG_TIMEOUT_S: u64 = 60;
 
+/// Memory of a machine, and a body within the limits that is larger than its budget for requests.
+const SMALL_MEMORY_MB: usize = 40;
+const REFUSED_BODY_BYTES: usize = 16 << 20;
+
 /// Guards against callers that keep all connections by reading long answers just above the bound.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -39,3 +43,29 @@
     let crowd = (0..CROWD).map(caller).collect();
     face_crowd_within(LONG_TIMEOUT_S, crowd, Duration::ZERO).await;
 }
+
+/// Guards against refusals that are lost with the connection, since the body is still being sent.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_amid_body_arrives() {
+    let store = StoreServer::start((own_loopback(), 0).into()).await.unwrap();
+    write_config(&store, REFUSED_BODY_BYTES, 60, 2);
+    let limits = format!("memory_mb = {SMALL_MEMORY_MB}\nmax_fds = {DESCRIPTORS_MAX}\n");
+    let server = start_server().await;
+    let daemon = DaemonProcess::start_limited("entry", "near", server, &store, &limits);
+    let outbound = daemon.plan.outbound;
+    wait_served(outbound, "/near/1").await;
+    let length = format!("content-length: {REFUSED_BODY_BYTES}\r\n");
+    let requests = [
+        (head("POST", "/near/1", &length), "HTTP/1.1 503 "),
+        (head("POST", "/none/1", &length), "HTTP/1.1 404 "),
+    ];
+    for (request, status) in requests {
+        let mut stream = TcpStream::connect(outbound).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        stream.write_all(&vec![b'a'; REFUSED_BODY_BYTES]).await.expect("the body is taken");
+        let mut answer = vec![0; status.len()];
+        stream.read_exact(&mut answer).await.expect("the answer comes whole");
+        expect_that!(String::from_utf8_lossy(&answer), eq(status));
+    }
+}
