Leave memory for further callers' connections

Seen by callers: where the memory for connections is used up before their number, as with a large max_header_bytes on a machine with little memory, callers that send bodies byte by byte still keep ordinary ones out.

Cause: a connection is accepted once its memory is leased, and connections that stay open took all of it.

The numbers of connections, those that stay open and those that are accepted for one request, now shrink in proportion to the memory for them.

--- a/src/policy/connection_roster.rs
+++ b/src/policy/connection_roster.rs
@@ -44,6 +44,11 @@
         ConnectionRoster { limits, entries: Vec::new(), next: 0 }
     }
 
+    /// Sets the limits; connections beyond them stay until others take their places.
+    pub fn set_limits(&mut self, limits: RosterLimits) {
+        self.limits = limits;
+    }
+
     /// Adds a connection; returns its number, and that of the connection to close for it.
     ///
     /// ```
--- a/src/policy/descriptor_share.rs
+++ b/src/policy/descriptor_share.rs
@@ -36,6 +36,26 @@
     pub handled: usize,
 }
 
+impl CallerLimits {
+    /// The limits where there is memory for `memory_max` connections in all.
+    ///
+    /// ```
+    /// use lentilway::policy::descriptor_share::{CallerLimits, caller_limits};
+    /// let limits = caller_limits(4_100);
+    /// assert_eq!(limits.within(10_000), limits);
+    /// assert_eq!(limits.within(600), CallerLimits { kept: 500, receiving: 49, handled: 49 });
+    /// ```
+    pub fn within(self, memory_max: usize) -> CallerLimits {
+        let all = self.kept + self.receiving + self.handled;
+        let part = |limit: usize| (limit * memory_max.min(all) / all).max(1);
+        CallerLimits {
+            kept: part(self.kept),
+            receiving: part(self.receiving),
+            handled: part(self.handled),
+        }
+    }
+}
+
 /// The connections that callers may have.
 ///
 /// ```
--- a/src/sidecar/connection/caller_listener.rs
+++ b/src/sidecar/connection/caller_listener.rs
@@ -39,14 +39,17 @@
     stop: StopSignal,
 ) {
     let limits = caller_limits(shared.settings.descriptors_max);
-    let limit = limits.kept.min(CONNECTIONS_LIMIT);
     let is_full = Arc::new(AtomicBool::new(false));
     let mut connections = JoinSet::new();
     // A request that is handled is not given up for others.
-    let reserve = ConnectionTable::new(RosterLimits { new: limits.receiving, proven: usize::MAX });
+    let reserve_limits = |receiving| RosterLimits { new: receiving, proven: usize::MAX };
+    let reserve = ConnectionTable::new(reserve_limits(limits.receiving));
     let mut reserved = JoinSet::new();
     loop {
-        let has_place = connections.len() < limit;
+        let memory_max = shared.memory.connections_max(connection_bytes(&shared));
+        let limits = limits.within(memory_max);
+        reserve.set_limits(reserve_limits(limits.receiving));
+        let has_place = connections.len() < limits.kept.min(CONNECTIONS_LIMIT);
         is_full.store(!has_place, Ordering::Relaxed);
         let has_reserve = reserve.count(ConnectionStanding::Proven) < limits.handled;
         tokio::select! {
@@ -75,14 +78,19 @@
     while reserved.join_next().await.is_some() {}
 }
 
+/// Memory of a connection with its read buffer.
+fn connection_bytes(shared: &SidecarShared) -> usize {
+    let limits = shared.config().map(|config| config.limits).unwrap_or_default();
+    CONNECTION_BYTES + READ_BUFFER_BYTES.min(limits.header_bytes + HEAD_MARGIN_BYTES)
+}
+
 /// Accepts a connection for which there is memory; others wait in the system's queue.
 async fn accept_leased(
     shared: &SidecarShared,
     listener: &TcpListener,
     is_full: &AtomicBool,
 ) -> (TcpStream, MemoryLease) {
-    let limits = shared.config().map(|config| config.limits).unwrap_or_default();
-    let bytes = CONNECTION_BYTES + READ_BUFFER_BYTES.min(limits.header_bytes + HEAD_MARGIN_BYTES);
+    let bytes = connection_bytes(shared);
     let lease = match shared.memory.lease(MemoryHolder::Connections, bytes) {
         Some(lease) => lease,
         None => {
--- a/src/sidecar/connection/connection_table.rs
+++ b/src/sidecar/connection/connection_table.rs
@@ -59,6 +59,11 @@
         has_evicted
     }
 
+    /// Sets the limits for the connections that are admitted from now on.
+    pub(crate) fn set_limits(&self, limits: RosterLimits) {
+        self.lock().roster.set_limits(limits);
+    }
+
     /// The connections of this standing.
     pub(crate) fn count(&self, standing: ConnectionStanding) -> usize {
         self.lock().roster.count(standing)
--- a/src/sidecar/process/memory_budget.rs
+++ b/src/sidecar/process/memory_budget.rs
@@ -152,6 +152,11 @@
         self.held[holder as usize].load(Ordering::Relaxed)
     }
 
+    /// The connections of this many bytes that fit into their share.
+    pub(crate) fn connections_max(&self, bytes: usize) -> usize {
+        memory_share(self.limit, MemoryUse::Connection, bytes) / bytes.max(1)
+    }
+
     /// Takes `bytes`; `None` if they are not free.
     pub(crate) fn lease(
         self: &Arc<Self>,
--- a/tests/suite/sidecar/untrusted.rs
+++ b/tests/suite/sidecar/untrusted.rs
@@ -143,6 +143,17 @@
 }
 
 fn write_config(store: &StoreServer, body_bytes: usize, timeout_s: u64, idle_timeout_s: u64) {
+    write_config_heads(store, body_bytes, timeout_s, idle_timeout_s, 4096);
+}
+
+/// The same with another limit on heads.
+fn write_config_heads(
+    store: &StoreServer,
+    body_bytes: usize,
+    timeout_s: u64,
+    idle_timeout_s: u64,
+    head_bytes: usize,
+) {
     let route = |name: &str| RoutePlan {
         name: name.to_owned(),
         service: name.to_owned(),
@@ -153,7 +164,7 @@
     let mut record = config_record(1, &[route("near"), route("far")], &[tenant]);
     record["resources"].as_array_mut().unwrap().push(json!({
         "entry_kind": "limits", "metadata": {"name": "limits"}, "spec": {
-            "max_header_bytes": 4096, "max_body_bytes": body_bytes, "header_timeout_s": 1,
+            "max_header_bytes": head_bytes, "max_body_bytes": body_bytes, "header_timeout_s": 1,
             "idle_timeout_s": idle_timeout_s}}));
     for route in &mut record["resources"].as_array_mut().unwrap()[..2] {
         route["spec"]["timeout_s"] = json!(timeout_s);
--- a/tests/suite/sidecar/untrusted/slow_callers.rs
+++ b/tests/suite/sidecar/untrusted/slow_callers.rs
@@ -9,6 +9,9 @@
 /// A timeout of routes longer than the wait of an ordinary caller.
 const LONG_TIMEOUT_S: u64 = 60;
 
+/// Heads so large, and descriptors so many, that the memory for connections does not do for a crowd.
+const LARGEST_HEAD_BYTES: usize = 64 << 10;
+const MANY_DESCRIPTORS: usize = 2_048;
 /// Memory of a machine, and a body within the limits that is larger than its budget for requests.
 const SMALL_MEMORY_MB: usize = 40;
 const REFUSED_BODY_BYTES: usize = 16 << 20;
@@ -26,10 +29,8 @@
     face_crowd((0..READERS).map(|_| caller()).collect(), READER_GAP).await;
 }
 
-/// Guards against callers that keep all connections with small bodies until the timeout of the route.
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn small_bodies_dripped_spare_connections() {
+/// Callers that send small bodies byte by byte.
+fn dripping_crowd() -> Vec<CrowdCaller> {
     let caller = |number: usize| {
         let announced = format!("content-length: {SMALL_BODY_BYTES}\r\n");
         match number % 2 {
@@ -40,8 +41,37 @@
             ),
         }
     };
-    let crowd = (0..CROWD).map(caller).collect();
-    face_crowd_within(LONG_TIMEOUT_S, crowd, Duration::ZERO).await;
+    (0..CROWD).map(caller).collect()
+}
+
+/// Guards against callers that keep all connections with small bodies until the timeout of the route.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn small_bodies_dripped_spare_connections() {
+    face_crowd_within(LONG_TIMEOUT_S, dripping_crowd(), Duration::ZERO).await;
+}
+
+/// Guards against callers that keep all the memory for connections, where that is scarcer than
+/// descriptors.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn small_bodies_dripped_spare_memory() {
+    let store = StoreServer::start((own_loopback(), 0).into()).await.unwrap();
+    write_config_heads(&store, 4 << 20, LONG_TIMEOUT_S, 2, LARGEST_HEAD_BYTES);
+    let limits = format!("memory_mb = {MEMORY_MB}\nmax_fds = {MANY_DESCRIPTORS}\n");
+    let server = start_server().await;
+    let mut daemon = DaemonProcess::start_limited("entry", "near", server, &store, &limits);
+    let outbound = daemon.plan.outbound;
+    wait_served(outbound, "/near/1").await;
+    let mut callers = JoinSet::new();
+    for caller in dripping_crowd() {
+        callers.spawn(caller.act(outbound));
+    }
+    sleep(CROWD_SPAN).await;
+    wait_served(outbound, "/near/1").await;
+    println!("most memory in kB: {}", daemon.peak_memory_kb());
+    expect_that!(daemon.is_alive(), eq(true));
+    expect_that!(daemon.peak_memory_kb(), le(MEMORY_MB << 10));
 }
 
 /// Guards against refusals that are lost with the connection, since the body is still being sent.
