Skip messages between daemons that only later releases know

Seen by callers: in a rolling release, a message of the later release closes the link of a daemon of the earlier one, and calls under way on it get 502.

Cause: a message that cannot be decoded ends the link, whether it is malformed or only of a kind that this release does not have.

A message of a kind above those known is now skipped and counted; one of a known kind that cannot be decoded still ends the link.

Before, on: link_outlives_unknown_message: the link is closed, failed. After: passes, with the other tests of sidecar::links.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -39,6 +39,8 @@
 /// The positions of [`PeerMessage::Call`] and [`PeerMessage::Answer`] among the kinds.
 const CALL_VARIANT: u32 = 3;
 const ANSWER_VARIANT: u32 = 4;
+/// The number of kinds of [`PeerMessage`].
+const VARIANTS: u32 = 20;
 /// A write buffer with a larger capacity is freed after the write.
 const WRITE_BUFFER_KEPT_BYTES: usize = 64 * 1024;
 
@@ -235,6 +237,8 @@
     Message(PeerMessage),
     /// There is no memory for the call with this number.
     RefusedCall(u64),
+    /// A message of a kind that only later releases know.
+    Unknown,
 }
 
 /// Kind of a message, as its first bytes state it.
@@ -354,6 +358,9 @@
             buffer.extend_from_slice(&self.buffer);
             self.buffer = buffer;
         }
+        if postcard::take_from_bytes(&frame).is_ok_and(|(kind, _): (u32, _)| kind >= VARIANTS) {
+            return Ok(ReadFrame::Unknown);
+        }
         let mut message = with_frame(&frame, || postcard::from_bytes(&frame))?;
         match &mut message {
             PeerMessage::Call(call) => call.lease = lease,
--- a/src/sidecar/connection/peer_link.rs
+++ b/src/sidecar/connection/peer_link.rs
@@ -182,6 +182,7 @@
                 {
                     return LinkError::WrongDaemon { name, service };
                 }
+                Ok(ReadFrame::Unknown) => shared.metrics.count("message_unknown"),
                 // Calls go the other way.
                 Ok(ReadFrame::RefusedCall(_)) => {}
                 Ok(ReadFrame::Message(message)) => {
--- a/src/sidecar/connection/peer_server.rs
+++ b/src/sidecar/connection/peer_server.rs
@@ -213,6 +213,10 @@
             message = read_with_room(reader, &sender) => {
                 let message = match message {
                     Ok(ReadFrame::Message(message)) => message,
+                    Ok(ReadFrame::Unknown) => {
+                        shared.metrics.count("message_unknown");
+                        continue;
+                    }
                     Ok(ReadFrame::RefusedCall(number)) => {
                         if sender.send(refused_call(shared, number)).is_err() {
                             return LinkError::Closed;
--- a/tests/suite/sidecar/links.rs
+++ b/tests/suite/sidecar/links.rs
@@ -5,7 +5,9 @@
 
 use googletest::prelude::*;
 use lentilway::sidecar::process::keyed_store::StoreTopic;
-use tokio::time::{Instant, sleep};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
 
 use super::fleet::{KEY, TestFleet, WITHDRAWN_KEY, config};
 
@@ -129,3 +131,32 @@
     // read for a while: both topics, at most every 0.4 s.
     expect_that!(calls, le(2 * names.len() + 4 * 12));
 }
+
+/// A message with the records that the receiver lacks, as its first byte states.
+const RECORDS_KIND: u8 = 7;
+
+/// A daemon of a later release may send messages that this one does not know. They cost neither the
+/// link nor the calls on it.
+#[gtest]
+#[tokio::test]
+async fn link_outlives_unknown_message() {
+    let fleet = TestFleet::new();
+    let daemon = fleet.start("one", "stock").await;
+    let mut link = TcpStream::connect(daemon.settings.peer_listen).await.unwrap();
+    // A message of kind 99, and a question for records with the number 1.
+    for message in [&[99, 1, 2, 3][..], &[6, 1, 0, 0]] {
+        link.write_u32(message.len() as u32).await.unwrap();
+        link.write_all(message).await.unwrap();
+    }
+    let answered = async {
+        loop {
+            let length = link.read_u32().await.expect("the link is open");
+            let mut message = vec![0; length as usize];
+            link.read_exact(&mut message).await.expect("the link is open");
+            if message[0] == RECORDS_KIND {
+                return;
+            }
+        }
+    };
+    timeout(Duration::from_secs(10), answered).await.expect("the question is answered");
+}
