Name the client of a service connection, and say why a seat is kept

Names and a comment alone: "peer" is another daemon elsewhere, while these connections are of the platform, of operators and of the backend server.

--- a/src/sidecar/connection/service_listener.rs
+++ b/src/sidecar/connection/service_listener.rs
@@ -44,7 +44,7 @@
     let table = ConnectionTable::new(limits);
     let mut connections = JoinSet::new();
     let serve = |stream: TcpStream, seat: ConnectionSeat| {
-        serve_peer(shared.clone(), stream, seat, stop.clone(), handler.clone())
+        serve_client(shared.clone(), stream, seat, stop.clone(), handler.clone())
     };
     loop {
         tokio::select! {
@@ -65,7 +65,7 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve_peer<H, F>(
+async fn serve_client<H, F>(
     shared: Arc<SidecarShared>,
     stream: TcpStream,
     seat: ConnectionSeat,
--- a/src/sidecar/request/handler.rs
+++ b/src/sidecar/request/handler.rs
@@ -107,6 +107,7 @@
     let body = received.unwrap_or_else(|_| {
         Err(RequestRefusal::new(ResultCode::DeadlineExpired, "the body did not arrive in time"))
     })?;
+    // A connection that was accepted for this request keeps its place from here on.
     if let Some(seat) = parts.extensions.get::<Arc<ConnectionSeat>>() {
         seat.promote(ConnectionStanding::Proven);
     }
