--- a/review/lab-3/slow_readers.rs
+++ b/review/lab-3/slow_readers.rs
@@ -17,8 +17,8 @@
 {"entry_kind":"routes","metadata":{"name":"r-refund"},"spec":{"hostname":"shop.example","path_prefix":"/refund/","kind":"unsafe","timeout_s":6,"target_latency_s":4,"priority":0,"service":"pfand","max_attempts":2,"public":true}},
 {"entry_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]}"#;
 /// Clients that fetch a manual each, and its size.
-const READERS: usize = 40;
-const MANUAL_BYTES: usize = 8_000_000;
+const READERS: usize = 3;
+const MANUAL_BYTES: usize = 40_000_000;
 /// What a slow client reads at a time, and its pause after it: 200 KB/s.
 const SLOW_READ_BYTES: usize = 16 * 1024;
 const SLOW_PAUSE: Duration = Duration::from_millis(80);
