--- a/review/lab-3/fleet.rs
+++ b/review/lab-3/fleet.rs
@@ -5,13 +5,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{call_once, read_message, request_bytes, write_answer};
-use crate::store::{Store, StoreWay};
+use crate::http::{answer_bytes, call_once, read_message, request_bytes, write_answer};
 
 /// Writes `record.txt`, and remembers runs.
 pub struct Record {
@@ -50,6 +49,14 @@
     }
 }
 
+/// Bytes that a garbled answer lacks.
+const CUT_BYTES: usize = 250;
+
+/// The body of the answer to a request.
+pub fn body_for(id: &str, size: usize) -> Vec<u8> {
+    format!("{id};").bytes().cycle().take(size).collect()
+}
+
 /// An upstream that works for as many milliseconds as the last segment of the path states. A segment
 /// such as `b8000` states the size of the answer.
 pub struct Upstream {
@@ -60,7 +67,9 @@
     born: u128,
     record: Arc<Record>,
     sequence: AtomicU64,
-    pub beats: AtomicBool,
+    /// Of this many answers one is garbled; 0 for none.
+    pub garbles_one_in: AtomicU64,
+    answers: AtomicU64,
 }
 
 impl Upstream {
@@ -75,7 +84,8 @@
             born,
             record: record.clone(),
             sequence: AtomicU64::new(0),
-            beats: AtomicBool::new(true),
+            garbles_one_in: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
         });
         let shared = upstream.clone();
         thread::spawn(move || {
@@ -90,6 +100,8 @@
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().unwrap());
+        // The last answer on this connection.
+        let mut last = Vec::new();
         while let Ok(Some(request)) = read_message(&mut reader) {
             let id = request.header("x-lentilway-attempt-id").unwrap_or("").to_owned();
             let target = request.header("x-lentilway-target-instance");
@@ -117,30 +129,45 @@
                 ("X-Lentilway-Attempt-Id", id.as_str()),
                 ("X-Lentilway-Server-Signature", signature.as_str()),
             ];
-            if write_answer(&mut stream, 200, &headers, &vec![b'x'; size]).is_err() {
+            let answer = answer_bytes(200, &headers, &body_for(&id, size));
+            let sent = self.garble(&id, &answer, &last);
+            last = answer;
+            if stream.write_all(&sent).is_err() {
                 return;
             }
         }
     }
 
+    /// What is sent for an answer: a garbled one lacks its end, and a second copy of the answer before it
+    /// on the connection follows.
+    fn garble(&self, id: &str, answer: &[u8], last: &[u8]) -> Vec<u8> {
+        let one_in = self.garbles_one_in.load(Ordering::SeqCst);
+        let number = self.answers.fetch_add(1, Ordering::SeqCst);
+        if one_in == 0 || number % one_in != one_in - 1 || last.is_empty() {
+            return answer.to_vec();
+        }
+        self.record
+            .note(&format!("the answer to {id} is cut, and the one before it is sent again"));
+        let cut = answer.len() - CUT_BYTES;
+        [&answer[..cut], last].concat()
+    }
+
     /// Sends heartbeats to `control`, about one each 1.5 s.
     pub fn send_beats(self: &Arc<Self>, control: SocketAddr) {
         let upstream = self.clone();
         thread::spawn(move || {
             loop {
-                if upstream.beats.load(Ordering::SeqCst) {
-                    let _ = upstream.beat(control, "ready");
-                }
+                let _ = upstream.beat(control);
                 thread::sleep(Duration::from_millis(1_500));
             }
         });
     }
 
-    pub fn beat(&self, control: SocketAddr, phase: &str) -> std::io::Result<u16> {
+    fn beat(&self, control: SocketAddr) -> std::io::Result<u16> {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let Upstream { address, id, service, zone, born, .. } = self;
         let body = format!(
-            r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":80}},"status":{{"phase":"{phase}","sequence":{sequence},"cold_remaining_s":0}}}}"#
+            r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":80}},"status":{{"phase":"ready","sequence":{sequence},"cold_remaining_s":0}}}}"#
         );
         let headers = [("Host", "control"), ("Content-Type", "application/json")];
         let path = format!("/api/instances/{id}");
@@ -154,9 +181,7 @@
     pub name: String,
     pub outbound: SocketAddr,
     pub ready: SocketAddr,
-    pub control: SocketAddr,
     pub upstream: Arc<Upstream>,
-    pub store: StoreWay,
     settings: PathBuf,
     log: PathBuf,
     record: Arc<Record>,
@@ -183,7 +208,7 @@
     /// Prepares a machine; its daemon is not started yet.
     pub fn new(
         record: &Arc<Record>,
-        store: &Arc<Store>,
+        store: SocketAddr,
         folder: &Path,
         (name, zone, service): (&str, &str, &str),
     ) -> Arc<Self> {
@@ -191,7 +216,6 @@
         let [outbound, inbound, ready, control] = [(); 4].map(|()| free_address());
         // The daemon's metrics are one port after the first of the range.
         let metrics = free_address().port();
-        let store = store.open_way();
         let text = format!(
             "[self]\nnode_name = \"{name}\"\nrole = \"sidecar\"\nmachine_class = \"sidecar\"\n\
              serves = [\"sidecar\"]\nip = \"127.0.0.1\"\nzone = \"{zone}\"\nregion = \"ost\"\n\
@@ -214,7 +238,7 @@
             upstream.address,
             metrics - 1,
             metrics + 14,
-            store.address,
+            store,
         );
         let settings = folder.join(format!("{name}.toml"));
         fs::write(&settings, text).expect("the settings can be written");
@@ -224,9 +248,7 @@
             name: name.to_owned(),
             outbound,
             ready,
-            control,
             upstream,
-            store,
             settings,
             log,
             record: record.clone(),
--- a/review/lab-3/http.rs
+++ b/review/lab-3/http.rs
@@ -18,10 +18,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or("")
-    }
-
     pub fn target(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or("")
     }
@@ -88,12 +84,17 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
+    stream.write_all(&answer_bytes(status, headers, body))
+}
+
+/// The bytes of an answer with these headers and a length.
+pub fn answer_bytes(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} Status\r\n");
     headers.iter().for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
     text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(body);
-    stream.write_all(&bytes)
+    bytes
 }
 
 /// The bytes of a request with a length.
--- a/review/lab-3/main.rs
+++ b/review/lab-3/main.rs
@@ -3,6 +3,7 @@
 //! Uses the standard library only. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run.
 
+mod cut_answers;
 mod fleet;
 mod http;
 mod quota;
@@ -41,9 +42,9 @@
     record.note(&format!("case {case}, with trouble: {has_trouble}"));
     let run = CaseRun { record: record.clone(), folder: temporary.clone(), has_trouble };
     let is_broken = match case.as_str() {
+        "cut-answers" => cut_answers::deliver(&run),
         "quota-freeze" => quota::freeze(&run),
         "slow-readers" => slow_readers::stop(&run),
-        "quota-restarts" => quota::restarts(&run),
         _ => cannot_run("no such case"),
     };
     record.note(if is_broken { "the rule was broken" } else { "the rule held" });
--- a/review/lab-3/quota.rs
+++ b/review/lab-3/quota.rs
@@ -19,6 +19,8 @@
 const WINDOW: Duration = Duration::from_secs(5);
 const OVERAGE: f64 = 0.1;
 const SLACK: f64 = 20.0;
+/// Machines that stand still, one after the other.
+const ROUNDS: usize = 7;
 /// Clients at each machine.
 const CLIENTS: usize = 24;
 
@@ -146,11 +148,12 @@
 fn start_fleet(run: &CaseRun, quota: Quota) -> Vec<Arc<Machine>> {
     let store = Arc::new(Store::default());
     store.append("keyed.op", "config", quota.config().as_bytes());
+    let store = store.open();
     let names = ["sidecar-wien-a-1", "sidecar-wien-a-2", "sidecar-wien-a-3", "sidecar-wien-a-4"];
     let place = |name| (name, "wien-a", "lager");
     let machines: Vec<_> = names
         .into_iter()
-        .map(|name| Machine::new(&run.record, &store, &run.folder, place(name)))
+        .map(|name| Machine::new(&run.record, store, &run.folder, place(name)))
         .collect();
     machines.iter().for_each(|machine| machine.start_daemon());
     wait_ready(&machines);
@@ -181,8 +184,9 @@
     let (quiet, batch) = (12_000, 30);
     let crowd = Crowd::start(&run.record, &machines, quiet);
     thread::sleep(Duration::from_secs(8));
-    for machine in machines.iter().rev() {
-        thread::sleep(Duration::from_secs(6));
+    // Which machine holds the pool is not known here.
+    for machine in machines.iter().rev().cycle().take(ROUNDS) {
+        thread::sleep(Duration::from_secs(4));
         if run.has_trouble {
             machine.signal("STOP");
         }
@@ -202,36 +206,3 @@
     crowd.is_over.store(true, Ordering::SeqCst);
     judge(run, &crowd, quota)
 }
-
-/// One machine's daemon after the other is killed four times, each time soon after it was started
-/// again. Meanwhile the tenant sends a batch.
-pub fn restarts(run: &CaseRun) -> bool {
-    let quota = Quota { rate: 8.0, burst: 8.0 };
-    let machines = start_fleet(run, quota);
-    let (quiet, batch) = (15_000, 180);
-    let crowd = Crowd::start(&run.record, &machines, quiet);
-    thread::sleep(Duration::from_secs(8));
-    for machine in machines.iter().rev() {
-        thread::sleep(Duration::from_secs(6));
-        crowd.pause.store(batch, Ordering::SeqCst);
-        run.record.note("a batch begins");
-        for _ in 0..4 {
-            if run.has_trouble {
-                machine.kill_daemon();
-            }
-            thread::sleep(Duration::from_millis(500));
-            if run.has_trouble {
-                machine.start_daemon();
-            }
-            thread::sleep(Duration::from_millis(900));
-        }
-        thread::sleep(Duration::from_millis(2_000));
-        crowd.pause.store(quiet, Ordering::SeqCst);
-        thread::sleep(Duration::from_millis(500));
-        if judge(run, &crowd, quota) {
-            break;
-        }
-    }
-    crowd.is_over.store(true, Ordering::SeqCst);
-    judge(run, &crowd, quota)
-}
--- a/review/lab-3/slow_readers.rs
+++ b/review/lab-3/slow_readers.rs
@@ -115,10 +115,11 @@
 pub fn stop(run: &CaseRun) -> bool {
     let store = Arc::new(Store::default());
     store.append("keyed.op", "config", CONFIG.replace('\n', "").as_bytes());
+    let store = store.open();
     // Of the two machines of the zone, the daemon beside the upstream reads the store for both.
     let (entry_name, server_name) = ("sidecar-wien-a-1", "sidecar-wien-a-2");
-    let entry = Machine::new(&run.record, &store, &run.folder, (entry_name, "wien-a", "tour"));
-    let server = Machine::new(&run.record, &store, &run.folder, (server_name, "wien-a", "pfand"));
+    let entry = Machine::new(&run.record, store, &run.folder, (entry_name, "wien-a", "tour"));
+    let server = Machine::new(&run.record, store, &run.folder, (server_name, "wien-a", "pfand"));
     entry.start_daemon();
     server.start_daemon();
     wait_ready(&[entry.clone(), server.clone()]);
--- a/review/lab-3/store.rs
+++ b/review/lab-3/store.rs
@@ -1,9 +1,8 @@
-//! The platform's store: keyed topics of one partition, each machine at an address of its own.
+//! The platform's store: keyed topics of one partition.
 
 use std::collections::HashMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,34 +17,19 @@
     appended: Condvar,
 }
 
-/// The way from one machine to the store.
-#[derive(Clone)]
-pub struct StoreWay {
-    pub address: SocketAddr,
-    is_cut: Arc<AtomicBool>,
-}
-
-impl StoreWay {
-    /// Cuts the machine off: its calls get no answer and have no effect.
-    pub fn cut(&self, is_cut: bool) {
-        self.is_cut.store(is_cut, Ordering::SeqCst);
-    }
-}
-
 impl Store {
-    /// Opens a way for one machine.
-    pub fn open_way(self: &Arc<Self>) -> StoreWay {
+    /// Starts to listen.
+    pub fn open(self: &Arc<Self>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let way = StoreWay { address, is_cut: Arc::default() };
-        let (store, is_cut) = (self.clone(), way.is_cut.clone());
+        let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, is_cut) = (store.clone(), is_cut.clone());
-                thread::spawn(move || store.serve(stream, &is_cut));
+                let store = store.clone();
+                thread::spawn(move || store.serve(stream));
             }
         });
-        way
+        address
     }
 
     /// Appends a record as the operator.
@@ -55,20 +39,11 @@
         self.appended.notify_all();
     }
 
-    fn serve(&self, mut stream: TcpStream, is_cut: &AtomicBool) {
+    fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         while let Ok(Some(request)) = read_message(&mut reader) {
-            if is_cut.load(Ordering::SeqCst) {
-                // The caller waits until its own time-out.
-                thread::sleep(Duration::from_secs(20));
-                return;
-            }
             let (status, body) = self.answer(&request);
-            if is_cut.load(Ordering::SeqCst) {
-                thread::sleep(Duration::from_secs(20));
-                return;
-            }
             let headers = [("Content-Type", "application/json")];
             if write_answer(&mut stream, status, &headers, &body).is_err() {
                 return;
